--- /dev/null
+++ b/packages/toucandeal-cli/src/toucandeal_cli/main.py
@@ -0,0 +1,113 @@
+"""The ``toucandeal`` command: sends a command to a proxy, prints the answer."""
+
+import secrets
+import sys
+from http import client
+from typing import Any
+
+import click
+import msgspec
+import tabulate
+
+__all__ = ['main', 'send_command']
+
+TIMEOUT_S = 20.0
+FAILED_STATUS = 1
+UNREACHABLE_STATUS = 3
+
+
+def send_command(address: str, text: str, change_id: str) -> dict[str, Any]:
+    """Return a proxy's answer to a command.
+
+    Raises
+    ------
+    OSError
+        The proxy can't be reached.
+    """
+    connection = client.HTTPConnection(address, timeout=TIMEOUT_S)
+    body = msgspec.json.encode({'command': text, 'change_id': change_id})
+    try:
+        connection.request('POST', '/v1/commands', body)
+        return msgspec.json.decode(connection.getresponse().read())
+    finally:
+        connection.close()
+
+
+def _first_answer(
+    addresses: list[str], text: str, change_id: str
+) -> dict[str, Any]:
+    """Ask one proxy after another; a repeat carries the same change id."""
+    problems = []
+    for address in addresses:
+        try:
+            return send_command(address, text, change_id)
+        except (OSError, client.HTTPException) as error:
+            problems.append(f'{address}: {error}')
+    click.echo(
+        'No proxy answers: ' + '; '.join(problems) + '. Check --proxy, or see '
+        'whether the daemons run. If this was a change, repeat it with '
+        f'--change-id {change_id}.',
+        err=True,
+    )
+    sys.exit(UNREACHABLE_STATUS)
+
+
+def _print_answer(answer: dict[str, Any]) -> None:
+    if 'rows' in answer:
+        rows = answer['rows']
+        click.echo(
+            tabulate.tabulate(rows, headers='keys') if rows else 'no rows'
+        )
+    elif 'help' in answer:
+        click.echo(answer['help'])
+    elif 'version' in answer:
+        click.echo(
+            f'accepted: {answer["accepted"]} at version {answer["version"]}, '
+            f'in force on {answer["in_force"]} of {answer["proxies"]} live '
+            'proxies'
+        )
+    else:
+        click.echo(
+            '; '.join(f'{name}: {text}' for name, text in answer.items())
+        )
+
+
+@click.command(context_settings={'auto_envvar_prefix': 'TOUCANDEAL'})
+@click.option(
+    '--proxy',
+    'proxies',
+    multiple=True,
+    default=['127.0.0.1:6401'],
+    show_default=True,
+    help='IP:PORT of a proxy for operators; give several to try in turn.',
+)
+@click.option(
+    '--json', 'as_json', is_flag=True, help='Print the answer as JSON.'
+)
+@click.option('--change-id', default='', help='Repeat an earlier change.')
+@click.argument('command', nargs=-1, required=True)
+def main(
+    proxies: tuple[str, ...],
+    command: tuple[str, ...],
+    change_id: str,
+    *,
+    as_json: bool,
+) -> None:
+    """Ask what holds now, or change what should hold.
+
+    Start with: toucandeal help
+    """
+    change_id = change_id or secrets.token_hex(8)
+    answer = _first_answer(list(proxies), ' '.join(command), change_id)
+    error = answer.get('error')
+    if as_json:
+        click.echo(msgspec.json.encode(answer).decode())
+    elif error:
+        click.echo(f'{error["problem"]}. {error["remedy"]}.', err=True)
+    else:
+        _print_answer(answer)
+    sys.exit(FAILED_STATUS if error else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/toucandeal-standins/src/toucandeal_standins/cluster.py
@@ -0,0 +1,385 @@
+"""Starts the processes of a whole deployment, for the demo, bench and tests."""
+
+import contextlib
+import os
+import signal
+import socket
+import string
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from http import client
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+__all__ = [
+    'ATELIER',
+    'CONSORCIO',
+    'Cluster',
+    'Deployment',
+    'Process',
+    'Proxy',
+    'free_port',
+    'post',
+    'running_cluster',
+    'wait_until',
+]
+
+START_TIMEOUT_S = 20.0
+WAIT_STEP_S = 0.02
+TOKEN_KEYS = 'stand-in-signing-key'
+
+
+class Deployment(NamedTuple):
+    """The sizes of a deployment."""
+
+    name: str
+    group: str
+    failure_domains: tuple[str, ...]
+    one_way_ms: float
+    slots: int
+    connections: int
+    connect_ms: float
+    service_ms: float
+    groups: int
+    servers: int
+    proxies: int
+
+
+ATELIER = Deployment(
+    'atelier',
+    'reels',
+    ('tn-north-a', 'tn-north-b', 'tn-north-c'),
+    1.0,
+    2,
+    16,
+    12.0,
+    2.0,
+    1,
+    3,
+    4,
+)
+CONSORCIO = Deployment(
+    'consorcio',
+    'specs',
+    ('lima-a', 'lima-b', 'lima-c'),
+    1.5,
+    5,
+    55,
+    12.0,
+    2.0,
+    1,
+    3,
+    4,
+)
+
+
+def free_port() -> int:
+    """Return a loopback port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def post(
+    address: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 15.0,
+    method: str = 'POST',
+) -> tuple[int, dict[str, str], Any]:
+    """Send one request and return status, headers and decoded body."""
+    connection = client.HTTPConnection(address, timeout=timeout_s)
+    raw = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    try:
+        connection.request(
+            method, path, None if method == 'GET' else raw, headers or {}
+        )
+        response = connection.getresponse()
+        content = response.read()
+    finally:
+        connection.close()
+    received = {name.lower(): text for name, text in response.getheaders()}
+    try:
+        return response.status, received, msgspec.json.decode(content)
+    except msgspec.DecodeError:
+        return response.status, received, content
+
+
+def wait_until(condition, what: str, timeout_s: float = START_TIMEOUT_S):
+    """Wait until `condition` returns something true, and return that.
+
+    Raises
+    ------
+    TimeoutError
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError, client.HTTPException):
+            outcome = condition()
+            if outcome:
+                return outcome
+        time.sleep(WAIT_STEP_S)
+    raise TimeoutError(f'waited {timeout_s} s for {what}')
+
+
+class Process:
+    """A process that this one started."""
+
+    def __init__(self, module: str, *flags: str, log: Path | None = None):
+        """Start ``python -m module`` with flags."""
+        self._flags = (module, *flags)
+        self._log = log
+        self.popen: subprocess.Popen | None = None
+        self.start()
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def start(self) -> None:
+        """Start the process, again if it has ended."""
+        output = self._log.open('ab') if self._log else subprocess.DEVNULL
+        self.popen = subprocess.Popen(
+            [sys.executable, '-m', *self._flags],
+            stdin=subprocess.DEVNULL,
+            stdout=output,
+            stderr=output,
+            env={**os.environ, 'PYTHONWARNINGS': 'ignore'},
+        )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.is_running:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def stop(self, timeout_s: float = 30.0) -> int:
+        """End the process gracefully and return its exit status."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(timeout_s)
+
+
+class Server(NamedTuple):
+    """A target stand-in."""
+
+    name: str
+    address: str
+    process: Process
+
+    def fault(self, **changes: Any) -> None:
+        """Switch faults of the target."""
+        post(self.address, '/fault', changes)
+
+    def status(self) -> dict[str, Any]:
+        """Return the target's own report."""
+        return post(self.address, '/inspect', method='GET')[2]
+
+
+class Proxy(NamedTuple):
+    """A daemon and its addresses."""
+
+    name: str
+    callers: str
+    operators: str
+    peers: str
+    process: Process
+    log: Path
+
+    def ready(self) -> bool:
+        """Return whether the daemon says that it is ready."""
+        return post(self.operators, '/ready', method='GET')[0] == 200
+
+    def command(self, text: str, change_id: str = '') -> dict[str, Any]:
+        """Run an operators' command."""
+        body = {'command': text, 'change_id': change_id}
+        return post(self.operators, '/v1/commands', body)[2]
+
+
+class Cluster:
+    """Everything that runs."""
+
+    def __init__(self, deployment: Deployment, folder: Path) -> None:
+        """Start with nothing running."""
+        self.deployment = deployment
+        self.folder = folder
+        self.platform_address = f'127.0.0.1:{free_port()}'
+        self.platform: Process | None = None
+        self.groups: dict[str, list[Server]] = {}
+        self.proxies: list[Proxy] = []
+        self.others: list[Process] = []
+
+    def processes(self) -> list[Process]:
+        """Return every process."""
+        servers = (
+            server.process for group in self.groups.values() for server in group
+        )
+        proxies = (proxy.process for proxy in self.proxies)
+        platform = [self.platform] if self.platform else []
+        return [*platform, *servers, *proxies, *self.others]
+
+    def primary(self, group: str) -> Server:
+        """Return the server that is primary in the highest term."""
+
+        def rank(server: Server) -> int:
+            status = server.status()
+            return status['term'] if status['is_primary'] else -1
+
+        running = [
+            server for server in self.groups[group] if server.process.is_running
+        ]
+        return max(running, key=rank)
+
+    def replicas(self, group: str) -> list[Server]:
+        """Return the servers of a group other than its primary."""
+        primary = self.primary(group)
+        return [server for server in self.groups[group] if server != primary]
+
+    def platform_fault(self, **changes: Any) -> None:
+        """Switch faults of the platform."""
+        post(self.platform_address, '/fault', changes)
+
+
+def _start_platform(cluster: Cluster) -> None:
+    port = cluster.platform_address.partition(':')[2]
+    cluster.platform = Process(
+        'toucandeal_standins.platform_service',
+        '--port',
+        port,
+        log=cluster.folder / 'platform.log',
+    )
+    wait_until(
+        lambda: post(cluster.platform_address, '/vms', method='GET'),
+        'the platform',
+    )
+
+
+def _start_group(cluster: Cluster, group: str) -> None:
+    deployment = cluster.deployment
+    names = [f'{group}-{number + 1}' for number in range(deployment.servers)]
+    ports = {name: free_port() for name in names}
+    cluster.groups[group] = [
+        Server(
+            name,
+            f'127.0.0.1:{port}',
+            Process(
+                'toucandeal_standins.target',
+                f'--name={name}',
+                f'--port={port}',
+                f'--slots={deployment.slots}',
+                f'--connections={deployment.connections}',
+                f'--connect-ms={deployment.connect_ms}',
+                f'--one-way-ms={deployment.one_way_ms}',
+                f'--service-ms={deployment.service_ms}',
+                *(
+                    f'--peer=127.0.0.1:{other}'
+                    for other_name, other in ports.items()
+                    if other_name != name
+                ),
+                log=cluster.folder / f'{name}.log',
+            ),
+        )
+        for name, port in ports.items()
+    ]
+    for server in cluster.groups[group]:
+        wait_until(server.status, server.name)
+
+
+def _start_proxies(cluster: Cluster, flags: tuple[str, ...]) -> None:
+    domains = cluster.deployment.failure_domains
+    peers = [
+        f'127.0.0.1:{free_port()}' for _ in range(cluster.deployment.proxies)
+    ]
+    for number, peer in enumerate(peers):
+        start_proxy(
+            cluster,
+            f'proxy-{number + 1}',
+            domains[number % len(domains)],
+            peer,
+            [other for other in peers if other != peer],
+            flags,
+        )
+    for proxy in cluster.proxies:
+        wait_until(proxy.ready, proxy.name)
+
+
+def start_proxy(
+    cluster: Cluster,
+    name: str,
+    failure_domain: str,
+    peer: str,
+    others: list[str],
+    flags: tuple[str, ...] = (),
+) -> Proxy:
+    """Start one more proxy."""
+    callers, operators = (f'127.0.0.1:{free_port()}' for _ in range(2))
+    log = cluster.folder / f'{name}.jsonl'
+    process = Process(
+        'toucandeald.main',
+        f'--name={name}',
+        f'--failure-domain={failure_domain}',
+        f'--listen-callers={callers}',
+        f'--listen-operators={operators}',
+        f'--listen-peers={peer}',
+        f'--platform={cluster.platform_address}',
+        f'--token-keys={TOKEN_KEYS}',
+        f'--log-file={log}',
+        *(f'--peer={other}' for other in others),
+        *flags,
+        log=cluster.folder / f'{name}.err',
+    )
+    proxy = Proxy(name, callers, operators, peer, process, log)
+    cluster.proxies.append(proxy)
+    return proxy
+
+
+def declare_group_text(cluster: Cluster, group: str) -> str:
+    """Return the command that declares a started group."""
+    deployment = cluster.deployment
+    domains = deployment.failure_domains
+    targets = (
+        f'target {server.name} at {server.address} '
+        f'in {domains[number % len(domains)]} '
+        f'slots {deployment.slots} connections {deployment.connections}'
+        for number, server in enumerate(cluster.groups[group])
+    )
+    return f'declare group {group} ' + ' '.join(targets)
+
+
+def group_names(deployment: Deployment) -> list[str]:
+    """Return the names of a deployment's groups."""
+    if deployment.groups == 1:
+        return [deployment.group]
+    return [
+        f'{deployment.group}-{letter}'
+        for letter in string.ascii_lowercase[: deployment.groups]
+    ]
+
+
+@contextlib.contextmanager
+def running_cluster(
+    deployment: Deployment, flags: tuple[str, ...] = ()
+) -> Iterator[Cluster]:
+    """Start a deployment, and end each of its processes at the end."""
+    with tempfile.TemporaryDirectory(prefix='toucandeal-') as folder:
+        cluster = Cluster(deployment, Path(folder))
+        try:
+            _start_platform(cluster)
+            for group in group_names(deployment):
+                _start_group(cluster, group)
+            _start_proxies(cluster, flags)
+            yield cluster
+        finally:
+            for process in cluster.processes():
+                process.signal(signal.SIGCONT)
+                process.kill()
--- /dev/null
+++ b/packages/toucandeal-standins/src/toucandeal_standins/target.py
@@ -0,0 +1,328 @@
+"""The target stand-in: one server of a replicated database group.
+
+Run with ``python -m toucandeal_standins.target``. Endpoints, all JSON:
+
+``POST /execute``   statements, alone or in a transaction of the connection
+``GET /status``     role, term, log position, time since upstream contact
+``POST /fence``     refuse lower terms from now on
+``POST /promote``   become the primary of a term that fenced this server
+``POST /append``    log entries from the primary
+``POST /fault``     switch faults
+``GET /inspect``    the status, for tests
+"""
+
+import sqlite3
+from typing import Any, NamedTuple
+
+import click
+import msgspec
+from twisted.internet import defer, reactor
+
+from toucandeal_standins.database import Database, Statement, run_statements
+from toucandeal_standins.http_server import Connection, HttpError, serve
+from toucandeal_standins.shipping import Append, Shipper, accept
+
+__all__ = ['Faults', 'TargetServer', 'main']
+
+
+# Paths that are not for proxies and don't count as their connections.
+_UNLIMITED = frozenset(('/append', '/fault', '/inspect'))
+
+
+class Execute(msgspec.Struct):
+    """A body of ``/execute``."""
+
+    request_id: str
+    statements: list[Statement] = []
+    term: int = 0
+    transaction: str = 'none'
+    read_only: bool = False
+
+
+class Term(msgspec.Struct):
+    """A body of ``/fence`` and ``/promote``."""
+
+    term: int
+
+
+class Faults(msgspec.Struct):
+    """The faults that are switched on."""
+
+    paused: bool = False
+    partitioned: bool = False
+    slow_ms: float = 0
+    crossed: bool = False
+    frozen: bool = False
+
+
+class Settings(NamedTuple):
+    """What a server is started with."""
+
+    name: str
+    slots: int
+    connections: int
+    connect_ms: float
+    one_way_ms: float
+    service_ms: float
+
+
+class Open(NamedTuple):
+    """An open transaction of a connection."""
+
+    data: sqlite3.Connection
+    statements: list[Statement]
+    term: int
+
+
+class TargetServer:
+    """State of one server."""
+
+    def __init__(self, settings: Settings, peers: list[str]) -> None:
+        """Start as an empty replica."""
+        self.settings = settings
+        self.database = Database()
+        self.faults = Faults()
+        self.term = 0
+        self.promoted_term = 0
+        self.upstream_at = float('-inf')
+        self.slots = defer.DeferredSemaphore(settings.slots)
+        self.writer = defer.DeferredLock()
+        self.connections: set[Connection] = set()
+        self.open: dict[Connection, Open] = {}
+        self.held: list[defer.Deferred] = []
+        self.shippers = [Shipper(reactor, self, peer) for peer in peers]
+
+    @property
+    def is_primary(self) -> bool:
+        """Return whether this server may write."""
+        return self.promoted_term > 0 and self.promoted_term == self.term
+
+    def status(self) -> dict[str, Any]:
+        """Return the answer to ``/status``."""
+        return {
+            'is_primary': self.is_primary,
+            'term': self.term,
+            'log_term': self.database.log_term,
+            'index': self.database.index,
+            'upstream_age_s': min(reactor.seconds() - self.upstream_at, 1e6),
+        }
+
+    def ship(self) -> None:
+        """Send new entries to the peers now."""
+        for shipper in self.shippers:
+            shipper.wake()
+
+
+def _wait(seconds: float) -> defer.Deferred:
+    waited = defer.Deferred()
+    reactor.callLater(seconds, waited.callback, None)
+    return waited
+
+
+@defer.inlineCallbacks
+def handle(server: TargetServer, connection, method, path, body):
+    """Answer one request."""
+    if connection not in server.connections:
+        if path not in _UNLIMITED:
+            yield _admit(server, connection)
+    if server.faults.frozen and path != '/fault':
+        yield defer.Deferred()
+    if path in {'/status', '/inspect'}:
+        return server.status()
+    if path == '/execute':
+        answer = yield _execute(server, connection, body)
+        return answer
+    handler = _HANDLERS.get((method, path))
+    if handler is None:
+        raise HttpError(404, f'no {method} {path}')
+    return handler(server, connection, body)
+
+
+@defer.inlineCallbacks
+def _admit(server: TargetServer, connection: Connection):
+    if len(server.connections) >= server.settings.connections:
+        reactor.callLater(0.005, connection.transport.loseConnection)
+        raise HttpError(503, 'too many connections')
+    server.connections.add(connection)
+    yield _wait(server.settings.connect_ms / 1000)
+
+
+@defer.inlineCallbacks
+def _execute(server: TargetServer, connection: Connection, body: bytes):
+    request = msgspec.json.decode(body, type=Execute)
+    slotted = server.slots.acquire()
+    yield slotted
+    try:
+        busy_ms = server.settings.service_ms + server.faults.slow_ms
+        if busy_ms:
+            yield _wait(busy_ms / 1000)
+    finally:
+        server.slots.release()
+    if request.transaction == 'begin' or (
+        request.transaction == 'none' and not request.read_only
+    ):
+        yield server.writer.acquire()
+        keep = False
+        try:
+            answer = _perform(server, connection, request)
+            keep = connection in server.open
+        finally:
+            if not keep:
+                server.writer.release()
+    else:
+        answer = _perform(server, connection, request)
+    answer = {'request_id': request.request_id, **answer, **server.status()}
+    if server.faults.crossed:
+        answer = yield _cross(server, answer)
+    return answer
+
+
+def _cross(server: TargetServer, answer: dict) -> defer.Deferred:
+    """Swap this answer with that of another connection."""
+    if server.held:
+        waiting, other = server.held.pop()
+        waiting.callback(answer)
+        return defer.succeed(other)
+    swapped = defer.Deferred()
+    server.held.append((swapped, answer))
+    return swapped
+
+
+def _perform(server: TargetServer, connection, request: Execute) -> dict:
+    if not connection.is_open:
+        return {'status': 'refused', 'reason': 'closed'}
+    if request.transaction in ('continue', 'commit', 'rollback'):
+        return _continue(server, connection, request)
+    current = server.is_primary and request.term == server.term
+    needs_primary = request.term or not request.read_only
+    if needs_primary and not current:
+        return {'status': 'refused', 'reason': 'term'}
+    try:
+        if request.transaction == 'begin':
+            return _begin(server, connection, request)
+        if request.read_only:
+            return _ran(server.database.read(request.statements))
+        return _write(server, request)
+    except (sqlite3.Error, sqlite3.Warning) as error:
+        return {'status': 'failed', 'error': str(error)}
+
+
+def _ran(results: list) -> dict:
+    return {'status': 'ran', 'results': results}
+
+
+def _write(server: TargetServer, request: Execute) -> dict:
+    results = server.database.write(server.term, request.statements)
+    server.ship()
+    return _ran(results)
+
+
+def _begin(server: TargetServer, connection, request: Execute) -> dict:
+    data = server.database.copy()
+    results = run_statements(data, request.statements)
+    server.open[connection] = Open(data, list(request.statements), server.term)
+    return _ran(results)
+
+
+def _continue(server: TargetServer, connection, request: Execute) -> dict:
+    transaction = server.open.get(connection)
+    if transaction is None:
+        return {'status': 'refused', 'reason': 'no transaction'}
+    if request.transaction == 'continue':
+        try:
+            results = run_statements(transaction.data, request.statements)
+        except (sqlite3.Error, sqlite3.Warning) as error:
+            _end(server, connection)
+            return {'status': 'failed', 'error': str(error)}
+        transaction.statements.extend(request.statements)
+        return _ran(results)
+    _end(server, connection)
+    if request.transaction == 'rollback':
+        return _ran([])
+    if not server.is_primary or server.term != transaction.term:
+        return {'status': 'refused', 'reason': 'term'}
+    server.database.write(
+        server.term, transaction.statements + request.statements
+    )
+    server.ship()
+    return _ran([])
+
+
+def _end(server: TargetServer, connection: Connection) -> None:
+    if server.open.pop(connection, None) is not None:
+        server.writer.release()
+
+
+def closed(server: TargetServer, connection: Connection) -> None:
+    """Roll back the transaction of a closed connection."""
+    server.connections.discard(connection)
+    _end(server, connection)
+
+
+def _fence(server: TargetServer, connection, body: bytes) -> dict:
+    del connection
+    term = msgspec.json.decode(body, type=Term).term
+    granted = term > server.term
+    if granted:
+        server.term = term
+    return {'granted': granted, **server.status()}
+
+
+def _promote(server: TargetServer, connection, body: bytes) -> dict:
+    del connection
+    term = msgspec.json.decode(body, type=Term).term
+    promoted = term == server.term and term > server.promoted_term
+    if promoted:
+        server.promoted_term = term
+        server.database.write(term, [])
+        server.ship()
+    return {'promoted': promoted, **server.status()}
+
+
+def _append(server: TargetServer, connection, body: bytes):
+    if server.faults.partitioned:
+        connection.drop()
+        return None
+    return accept(server, msgspec.json.decode(body, type=Append))
+
+
+def _fault(server: TargetServer, connection, body: bytes) -> dict:
+    del connection
+    changes = msgspec.json.decode(body)
+    names = msgspec.structs.asdict(server.faults)
+    server.faults = msgspec.convert({**names, **changes}, Faults)
+    return msgspec.structs.asdict(server.faults)
+
+
+_HANDLERS = {
+    ('POST', '/fence'): _fence,
+    ('POST', '/promote'): _promote,
+    ('POST', '/append'): _append,
+    ('POST', '/fault'): _fault,
+}
+
+
+@click.command()
+@click.option('--name', required=True)
+@click.option('--port', type=int, required=True)
+@click.option('--peer', 'peers', multiple=True, help='host:port of a peer')
+@click.option('--slots', type=int, default=2)
+@click.option('--connections', type=int, default=16)
+@click.option('--connect-ms', type=float, default=12)
+@click.option('--one-way-ms', type=float, default=1)
+@click.option('--service-ms', type=float, default=2)
+def main(port, peers, **settings) -> None:
+    """Run one server until it is ended."""
+    server = TargetServer(Settings(**settings), list(peers))
+    serve(
+        reactor,
+        port,
+        lambda *request: handle(server, *request),
+        lambda connection: closed(server, connection),
+        lambda: settings['one_way_ms'] / 1000,
+    ).addErrback(lambda failure: (failure.printTraceback(), reactor.stop()))
+    reactor.run()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/engine.py
@@ -0,0 +1,214 @@
+"""The order of the systems, and the entry points of the embedding process.
+
+Each input is taken in by its own function, after which :func:`run` lets the
+systems work on the groups that it touched. :func:`tick` does the same for
+what time alone brings about. Neither performs I/O: both leave actions in the
+frame.
+"""
+
+import math
+import random
+
+from toucandeal.actions import Action, Poll, WakeAt
+from toucandeal.configuration import Configuration, Row, apply_rows, merge
+from toucandeal.confirming import settle
+from toucandeal.entities import (
+    GroupReport,
+    Operation,
+    Request,
+    RequestClass,
+)
+from toucandeal.errors import UnknownName
+from toucandeal.evidence import want_polls
+from toucandeal.failover import run_failover
+from toucandeal.limits import share_connections
+from toucandeal.membership import forget_silent_peers
+from toucandeal.pacing import pace
+from toucandeal.positions import LogPosition
+from toucandeal.requests import admit, dispatch, expire
+from toucandeal.tables import Frame, Tables, decide
+from toucandeal.transactions import roll_back_idle
+
+__all__ = [
+    'TICK_S',
+    'begin_frame',
+    'configuration_learned',
+    'find_class',
+    'group_reports',
+    'new_request',
+    'request_arrived',
+    'run',
+    'tick',
+]
+
+TICK_S = 0.02
+LONGEST_AGE_S = 1e6  # stands for infinity in messages
+
+
+def begin_frame(tables: Tables, now: float, generator: random.Random) -> Frame:
+    """Return a frame for one input; notices a pause of this process."""
+    frame = Frame(tables, now, generator, [])
+    if now - tables.ticked_at > tables.policies.pause_s:
+        _distrust(frame)
+    tables.ticked_at = now
+    return frame
+
+
+def _distrust(frame: Frame) -> None:
+    """Drop everything that was learned before a pause of this process."""
+    tables = frame.tables
+    decide(
+        frame,
+        'pause',
+        tables.identity.name,
+        'dropped all evidence',
+        'the process was stopped',
+        paused_s=round(frame.now - tables.ticked_at, 3),
+    )
+    tables.trusted_since = frame.now
+    tables.share_since = frame.now
+    tables.reports.clear()
+    for name, view in tables.views.items():
+        tables.views[name] = view._replace(status=None, sent_at=-math.inf)
+    for group, view in tables.group_views.items():
+        tables.group_views[group] = view._replace(
+            history=[],
+            unproven=(),
+            healthy_at=-math.inf,
+            suspect_since=None,
+            takeover=None,
+        )
+        want_polls(tables, group)
+    for name, peer in tables.peers.items():
+        tables.peers[name] = peer._replace(heard_at=frame.now)
+
+
+def run(frame: Frame) -> list[Action]:
+    """Run the systems over the touched groups and return the actions."""
+    tables = frame.tables
+    touched = [group for group in tables.dirty if group in tables.groups]
+    tables.dirty.clear()
+    for group in touched:
+        settle(frame, group)
+        run_failover(frame, group)
+        dispatch(frame, group)
+        _poll(frame, group)
+    return frame.actions
+
+
+def tick(frame: Frame) -> list[Action]:
+    """Run the systems that depend on time, over everything."""
+    tables = frame.tables
+    forget_silent_peers(frame)
+    share_connections(frame)
+    expire(frame)
+    roll_back_idle(frame)
+    tables.dirty.update(tables.groups)
+    return run(frame)
+
+
+def _poll(frame: Frame, group: str) -> None:
+    tables = frame.tables
+    heartbeat = pace(tables).heartbeat_s
+    for name in tables.groups[group].targets:
+        view = tables.views[name]
+        if view.polling:
+            continue
+        gap = tables.policies.confirm_gap_s if view.poll_wanted else heartbeat
+        due_at = view.polled_at + gap
+        if frame.now >= due_at:
+            tables.views[name] = view._replace(
+                polling=True, poll_wanted=False, polled_at=frame.now
+            )
+            frame.actions.append(Poll(name, frame.now))
+        elif view.poll_wanted:
+            frame.actions.append(WakeAt(due_at))
+
+
+def find_class(tables: Tables, caller: str, name: str) -> RequestClass:
+    """Return a declared class.
+
+    Raises
+    ------
+    UnknownName
+        The class, the caller or the class's group is not declared.
+    """
+    if caller not in tables.callers:
+        raise UnknownName(
+            f'Caller {caller!r} is not declared',
+            f'Ask an operator for `declare caller {caller}`',
+        )
+    request_class = tables.classes.get(name)
+    if request_class is None:
+        raise UnknownName(
+            f'Request class {name!r} is not declared',
+            'Use one that `show classes` lists, or ask an operator for '
+            '`declare class`',
+        )
+    if request_class.group not in tables.groups:
+        raise UnknownName(
+            f'Group {request_class.group!r} of class {name!r} is not declared',
+            'Ask an operator for `declare group`',
+        )
+    return request_class
+
+
+def new_request(
+    frame: Frame,
+    caller: str,
+    request_class: RequestClass,
+    *,
+    key: str | None,
+    body: object,
+    seen: LogPosition,
+    deadline_s: float | None = None,
+    operation: Operation = Operation.EXECUTE,
+    transaction: str | None = None,
+) -> Request:
+    """Return a row for a new request."""
+    tables = frame.tables
+    tables.next_identity += 1
+    allowed = request_class.deadline_s
+    if deadline_s is not None:
+        allowed = min(deadline_s, allowed)
+    return Request(
+        tables.next_identity,
+        caller,
+        request_class,
+        key,
+        body,
+        seen,
+        frame.now,
+        frame.now + allowed,
+        operation,
+        transaction,
+    )
+
+
+def request_arrived(frame: Frame, request: Request) -> None:
+    """Take in a request that a target has to be found for."""
+    admit(frame, request)
+
+
+def configuration_learned(
+    frame: Frame, held: Configuration, version: int, rows: list[Row]
+) -> Configuration:
+    """Put newer rows in force and return the merged configuration."""
+    merged, changed = merge(held, version, rows)
+    apply_rows(frame, changed)
+    return merged
+
+
+def group_reports(tables: Tables, now: float) -> list[GroupReport]:
+    """Return this proxy's view of each group, for its heartbeat."""
+    return [
+        GroupReport(
+            name,
+            view.term,
+            view.primary,
+            view.primary_term,
+            min(now - view.healthy_at, LONGEST_AGE_S),
+        )
+        for name, view in tables.group_views.items()
+        if view.term
+    ]
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/errors.py
@@ -0,0 +1,114 @@
+"""Exceptions of the library, one hierarchy.
+
+Every message states what is wrong and then the remedy.
+"""
+
+from typing import ClassVar
+
+__all__ = [
+    'BadBody',
+    'BadCommand',
+    'BadRequestError',
+    'BadSetting',
+    'BadToken',
+    'BodyTooLarge',
+    'ChangeConflict',
+    'ChangeRefused',
+    'KeyReused',
+    'StoreUnavailable',
+    'ToucandealError',
+    'UnknownName',
+    'UnknownTransaction',
+]
+
+
+class ToucandealError(Exception):
+    """Base of all errors of the project.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong.
+    remedy : str
+        What the reader can do about it.
+    """
+
+    kind: ClassVar[str] = 'error'
+
+    def __init__(self, problem: str, remedy: str) -> None:
+        """Keep both halves and join them into the message."""
+        super().__init__(f'{problem}. {remedy}.')
+        self.problem = problem
+        self.remedy = remedy
+
+
+class BadRequestError(ToucandealError):
+    """A request that was understood to be wrong before anything ran."""
+
+    kind = 'bad_request'
+
+
+class BadBody(BadRequestError):
+    """The body is not JSON of the documented shape."""
+
+    kind = 'bad_body'
+
+
+class BodyTooLarge(BadRequestError):
+    """The body exceeds the size limit."""
+
+    kind = 'body_too_large'
+
+
+class BadToken(BadRequestError):
+    """The session token is malformed, forged or belongs to another caller."""
+
+    kind = 'bad_token'
+
+
+class UnknownName(BadRequestError):
+    """A caller, class, group or target that is not declared."""
+
+    kind = 'unknown_name'
+
+
+class UnknownTransaction(BadRequestError):
+    """The transaction has ended or was never open."""
+
+    kind = 'unknown_transaction'
+
+
+class KeyReused(BadRequestError):
+    """A request key was used before for a different request."""
+
+    kind = 'key_reused'
+
+
+class BadCommand(BadRequestError):
+    """An operator command that does not parse or does not apply."""
+
+    kind = 'bad_command'
+
+
+class BadSetting(ToucandealError):
+    """A flag or environment variable with an unusable value."""
+
+    kind = 'bad_setting'
+
+
+class ChangeConflict(ToucandealError):
+    """Another change of the same rows was accepted first."""
+
+    kind = 'conflict'
+
+
+class ChangeRefused(ToucandealError):
+    """A change that cannot be carried out now; nothing was changed."""
+
+    kind = 'change_refused'
+
+
+class StoreUnavailable(ToucandealError):
+    """The platform's store gives no answer."""
+
+    kind = 'store_unavailable'
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/evidence.py
@@ -0,0 +1,224 @@
+"""What status answers prove: the primary, its samples, and confirmations.
+
+Two facts are derived, both from what servers themselves report:
+
+* a write at ``(term, index)`` is *confirmed* once a majority, the primary
+  included, has a log whose last entry has that term and that index or a later
+  one; a later takeover then finds it in any majority that it fences;
+* a primary of term ``t`` is *proven* current at time ``s`` once enough other
+  targets answered polls sent at ``s`` or later without knowing a higher term.
+"""
+
+import math
+
+from toucandeal.entities import TargetStatus, TargetView
+from toucandeal.pacing import pace
+from toucandeal.positions import (
+    kth_largest,
+    replicas_to_confirm,
+    replicas_to_prove,
+)
+from toucandeal.staleness import Sample, record
+from toucandeal.tables import Frame, GroupView, Tables, decide
+
+__all__ = [
+    'confirmed_index',
+    'learn_primary',
+    'proven_until',
+    'raise_term',
+    'replicas_in_contact',
+    'status_answered',
+    'status_failed',
+    'want_polls',
+    'writable',
+]
+
+
+def writable(view: GroupView) -> bool:
+    """Return whether the group has a primary that no higher term contests."""
+    return bool(view.primary) and view.primary_term == view.term
+
+
+def _other_views(tables: Tables, group: str, name: str) -> list[TargetView]:
+    return [
+        tables.views[other]
+        for other in tables.groups[group].targets
+        if other != name
+    ]
+
+
+def _replica_views(tables: Tables, group: str) -> list[TargetView]:
+    return _other_views(tables, group, tables.group_views[group].primary)
+
+
+def confirmed_index(
+    tables: Tables, group: str, writer: str, term: int
+) -> float:
+    """Return the highest log index of `term` that a majority holds.
+
+    Parameters
+    ----------
+    tables : Tables
+    group : str
+    writer : str
+        The primary of `term`; its own log is no witness, also after another
+        target has taken its place.
+    term : int
+
+    Returns
+    -------
+    float
+        Minus infinity where nothing of the term is confirmed.
+    """
+    indices = [
+        view.status.index
+        for view in _other_views(tables, group, writer)
+        if view.status is not None and view.status.log_term == term
+    ]
+    rank = replicas_to_confirm(len(tables.groups[group].targets))
+    return kth_largest(indices, rank, -math.inf, math.inf)
+
+
+def proven_until(tables: Tables, group: str) -> float:
+    """Return the time up to which the group's primary is proven current."""
+    view = tables.group_views[group]
+    times = [
+        replica.sent_at
+        for replica in _replica_views(tables, group)
+        if replica.status is not None
+        and replica.status.term <= view.primary_term
+    ]
+    rank = replicas_to_prove(len(tables.groups[group].targets))
+    return kth_largest(times, rank, -math.inf, math.inf)
+
+
+def replicas_in_contact(tables: Tables, group: str, now: float) -> int:
+    """Return how many replicas heard from their primary lately."""
+    limit = pace(tables).suspect_s
+    return sum(
+        view.status is not None
+        and view.status.upstream_age_s + now - view.sent_at < limit
+        for view in _replica_views(tables, group)
+    )
+
+
+def raise_term(frame: Frame, group: str, term: int) -> None:
+    """Note that a term is in use, for whatever reason it is known."""
+    view = frame.tables.group_views[group]
+    if term > view.term:
+        frame.tables.group_views[group] = view._replace(
+            term=term, term_raised_at=frame.now
+        )
+        frame.tables.dirty.add(group)
+
+
+def learn_primary(
+    frame: Frame, group: str, target: str, term: int, source: str
+) -> None:
+    """Note that `target` was promoted in `term`; lower terms are ignored."""
+    raise_term(frame, group, term)
+    view = frame.tables.group_views[group]
+    if term <= view.primary_term:
+        return
+    decide(
+        frame,
+        'primary',
+        group,
+        target,
+        source,
+        term=term,
+        before=view.primary,
+    )
+    frame.tables.group_views[group] = view._replace(
+        primary=target,
+        primary_term=term,
+        unproven=(),
+        suspect_since=None,
+        suspect_reason='',
+    )
+    want_polls(frame.tables, group)
+    frame.tables.dirty.add(group)
+
+
+def want_polls(tables: Tables, group: str) -> None:
+    """Ask for a poll of each target of the group, ahead of its heartbeat."""
+    for name in tables.groups[group].targets:
+        tables.views[name] = tables.views[name]._replace(poll_wanted=True)
+
+
+def status_answered(
+    frame: Frame, name: str, sent_at: float, status: TargetStatus
+) -> None:
+    """Take in a target's status.
+
+    Parameters
+    ----------
+    frame : Frame
+    name : str
+        The target.
+    sent_at : float
+        When the poll was sent; an answer to a poll from before a pause of
+        this process proves nothing and is dropped.
+    status : TargetStatus
+    """
+    tables = frame.tables
+    if name not in tables.views:
+        return
+    view = tables.views[name]._replace(polling=False)
+    if sent_at < tables.trusted_since:
+        tables.views[name] = view
+        return
+    tables.views[name] = view._replace(
+        status=status, sent_at=sent_at, failing_since=None
+    )
+    group = tables.targets[name].group
+    tables.dirty.add(group)
+    raise_term(frame, group, status.term)
+    if status.is_primary:
+        learn_primary(frame, group, name, status.term, 'status')
+        _sample(tables, group, name, Sample(status.held, sent_at))
+    _prove(tables, group)
+    _note_health(frame, group)
+
+
+def _sample(tables: Tables, group: str, name: str, sample: Sample) -> None:
+    view = tables.group_views[group]
+    if name == view.primary:
+        tables.group_views[group] = view._replace(
+            unproven=(*view.unproven[-7:], sample)
+        )
+
+
+def _prove(tables: Tables, group: str) -> None:
+    view = tables.group_views[group]
+    until = proven_until(tables, group)
+    for sample in view.unproven:
+        if sample.sent_at <= until:
+            record(view.history, sample)
+    tables.group_views[group] = view._replace(
+        unproven=tuple(
+            sample for sample in view.unproven if sample.sent_at > until
+        )
+    )
+
+
+def _note_health(frame: Frame, group: str) -> None:
+    tables = frame.tables
+    view = tables.group_views[group]
+    if not view.primary:
+        return
+    needed = replicas_to_confirm(len(tables.groups[group].targets))
+    if replicas_in_contact(tables, group, frame.now) >= needed:
+        answered = tables.views[view.primary].sent_at
+        tables.group_views[group] = view._replace(healthy_at=answered)
+
+
+def status_failed(frame: Frame, name: str) -> None:
+    """Note that a poll brought no answer in time."""
+    tables = frame.tables
+    if name not in tables.views:
+        return
+    view = tables.views[name]
+    since = frame.now if view.failing_since is None else view.failing_since
+    tables.views[name] = view._replace(polling=False, failing_since=since)
+    tables.dirty.add(tables.targets[name].group)
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/membership.py
@@ -0,0 +1,112 @@
+"""Live proxies, and which of them goes first.
+
+A proxy counts as live while its heartbeats arrive. The platform's list of VMs
+lags, so it only adds addresses to try and marks VMs that are leaving; it never
+overrules a heartbeat.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from toucandeal.entities import GroupReport, Peer
+from toucandeal.evidence import learn_primary, raise_term
+from toucandeal.tables import Frame, Tables, decide
+
+__all__ = [
+    'forget_silent_peers',
+    'live_proxies',
+    'peer_heard',
+    'rendezvous_order',
+    'takeover_rank',
+]
+
+
+def rendezvous_order(names: Iterable[str], key: str) -> list[str]:
+    """Return `names` by highest random weight for `key` [1]_.
+
+    References
+    ----------
+    .. [1] Thaler and Ravishankar, "Using name-based mappings to increase hit
+       rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+
+    Examples
+    --------
+    >>> order = rendezvous_order(['a', 'b', 'c'], 'group')
+    >>> [name for name in order if name != 'a'] == rendezvous_order(
+    ...     ['b', 'c'], 'group'
+    ... )
+    True
+    """
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh3_64_intdigest(f'{name}\0{key}'.encode()),
+        reverse=True,
+    )
+
+
+def live_proxies(tables: Tables) -> list[str]:
+    """Return the names of the live proxies, this one included."""
+    return sorted((tables.identity.name, *tables.peers))
+
+
+def takeover_rank(tables: Tables, group: str) -> int:
+    """Return this proxy's place in the order of takeover of `group`."""
+    able = [
+        name
+        for name in live_proxies(tables)
+        if name == tables.identity.name or not tables.peers[name].draining
+    ]
+    return rendezvous_order(able, group).index(tables.identity.name)
+
+
+def peer_heard(
+    frame: Frame, peer: Peer, reports: Iterable[GroupReport]
+) -> None:
+    """Take in a peer's heartbeat.
+
+    Parameters
+    ----------
+    frame : Frame
+    peer : Peer
+        The sender as its heartbeat describes it.
+    reports : iterable of GroupReport
+        The sender's view of its groups.
+    """
+    tables = frame.tables
+    if peer.name not in tables.peers:
+        decide(frame, 'membership', peer.name, 'joined', 'heartbeat')
+    tables.peers[peer.name] = peer
+    for report in reports:
+        if report.group not in tables.groups:
+            continue
+        tables.reports[report.group][peer.name] = (report, frame.now)
+        raise_term(frame, report.group, report.term)
+        if report.primary in tables.targets:
+            learn_primary(
+                frame,
+                report.group,
+                report.primary,
+                report.primary_term,
+                f'heartbeat of {peer.name}',
+            )
+        tables.dirty.add(report.group)
+
+
+def forget_silent_peers(frame: Frame) -> None:
+    """Drop the peers whose heartbeats have stopped."""
+    tables = frame.tables
+    oldest = frame.now - tables.policies.peer_timeout_s
+    silent = [peer for peer in tables.peers.values() if peer.heard_at < oldest]
+    for peer in silent:
+        del tables.peers[peer.name]
+        for reports in tables.reports.values():
+            reports.pop(peer.name, None)
+        decide(
+            frame,
+            'membership',
+            peer.name,
+            'gone',
+            'no heartbeat',
+            silent_s=round(frame.now - peer.heard_at, 3),
+        )
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/routing.py
@@ -0,0 +1,199 @@
+"""Which target serves a request.
+
+Writes go to the primary. A read goes to a replica whose position covers the
+session's and whose data is surely fresh enough; where no replica qualifies
+the read waits briefly for one, then goes to the primary.
+"""
+
+import itertools
+import math
+from typing import NamedTuple
+
+from toucandeal.entities import Request, Target
+from toucandeal.evidence import want_polls, writable
+from toucandeal.limits import free_slots
+from toucandeal.pacing import pace
+from toucandeal.positions import LogPosition
+from toucandeal.staleness import covered_since
+from toucandeal.tables import Frame, Tables
+
+__all__ = [
+    'Choice',
+    'Wait',
+    'choose_target',
+    'fresh_enough',
+    'is_available',
+    'is_leaving',
+]
+
+
+class Choice(NamedTuple):
+    """The target for a request, and why."""
+
+    target: str
+    reason: str
+    candidates: int = 1
+
+
+class Wait(NamedTuple):
+    """No target yet; look again at `until` at the latest."""
+
+    reason: str
+    until: float = math.inf
+
+
+def is_leaving(tables: Tables, target: Target) -> bool:
+    """Return whether operators or the platform take `target` out of use."""
+    vm = tables.vms.get(target.name)
+    return target.leaving or (vm is not None and vm.leaving)
+
+
+def is_available(tables: Tables, target: Target, now: float) -> bool:
+    """Return whether `target` may get new work."""
+    view = tables.views[target.name]
+    reachable = now - view.sent_at < pace(tables).suspect_s
+    return (
+        reachable
+        and not is_leaving(tables, target)
+        and now >= view.shunned_until
+    )
+
+
+def fresh_enough(
+    tables: Tables, request: Request, held: LogPosition, now: float
+) -> bool:
+    """Return whether data at `held` surely satisfies a read.
+
+    Data that misses nothing from before the request's arrival satisfies any
+    allowance.
+    """
+    if held < request.seen:
+        return False
+    allowance = request.request_class.freshness_s
+    history = tables.group_views[request.request_class.group].history
+    complete_until = covered_since(history, held)
+    return (
+        complete_until >= request.arrived_at
+        or now - complete_until <= allowance
+    )
+
+
+def choose_target(frame: Frame, request: Request) -> Choice | Wait:
+    """Return where `request` goes now, or what it waits for."""
+    if request.is_write:
+        return _choose_primary(frame, request, 'write')
+    policy = frame.tables.policies.replica_reads
+    if policy == 'primary_only':
+        return _choose_primary(frame, request, 'primary only')
+    if policy == 'round_robin':
+        return _choose_in_turn(frame, request)
+    return _choose_replica(frame, request)
+
+
+def _choose_primary(
+    frame: Frame, request: Request, reason: str
+) -> Choice | Wait:
+    tables = frame.tables
+    view = tables.group_views[request.request_class.group]
+    if not writable(view):
+        return Wait('no primary')
+    if frame.now < view.held_until:
+        return Wait('switchover', view.held_until)
+    primary = tables.targets[view.primary]
+    if request.is_write and is_leaving(tables, primary):
+        return Wait('primary is leaving')
+    if view.primary_term < request.seen.term:
+        return Wait('primary is behind the session')
+    if frame.now - tables.views[view.primary].sent_at > pace(tables).suspect_s:
+        return Wait('primary is silent')
+    shunned_until = tables.views[view.primary].shunned_until
+    if frame.now < shunned_until:
+        return Wait('primary refuses connections', shunned_until)
+    if free_slots(tables, primary) < 1:
+        return Wait('primary is busy')
+    return Choice(view.primary, reason)
+
+
+def _replicas(frame: Frame, group: str) -> list[Target]:
+    tables = frame.tables
+    primary = tables.group_views[group].primary
+    return [
+        target
+        for target in tables.group_targets(group)
+        if target.name != primary
+        and is_available(tables, target, frame.now)
+        and tables.views[target.name].status is not None
+    ]
+
+
+def _choose_replica(frame: Frame, request: Request) -> Choice | Wait:
+    tables = frame.tables
+    group = request.request_class.group
+    replicas = _replicas(frame, group)
+    eligible = [
+        target
+        for target in replicas
+        if fresh_enough(
+            tables, request, tables.views[target.name].status.held, frame.now
+        )
+    ]
+    free = [target for target in eligible if free_slots(tables, target) > 0]
+    if free:
+        name = _less_loaded(frame, free)
+        return Choice(name, 'replica is fresh', len(free))
+    if request.attempts:
+        return _choose_primary(frame, request, 'replica fell short')
+    if eligible:
+        return _overflow(frame, request, eligible)
+    patience = request.arrived_at + tables.policies.replica_wait_s
+    if replicas and frame.now < patience:
+        want_polls(tables, group)
+        return Wait('no replica is fresh yet', patience)
+    return _choose_primary(frame, request, 'no replica is fresh')
+
+
+def _less_loaded(frame: Frame, free: list[Target]) -> str:
+    """Return the better of two random targets (power of two choices)."""
+    views = frame.tables.views
+    sampled = frame.random.sample(free, min(len(free), 2))
+    return min(
+        sampled,
+        key=lambda target: (
+            (views[target.name].in_flight + 1) * views[target.name].latency_s
+        ),
+    ).name
+
+
+def _overflow(
+    frame: Frame, request: Request, eligible: list[Target]
+) -> Choice | Wait:
+    views = frame.tables.views
+    patience = request.arrived_at + min(
+        views[target.name].latency_s for target in eligible
+    )
+    if frame.now < patience:
+        return Wait('replicas are busy', patience)
+    if frame.tables.writes[request.request_class.group]:
+        return Wait('replicas are busy')
+    return _choose_primary(frame, request, 'replicas are busy')
+
+
+def _choose_in_turn(frame: Frame, request: Request) -> Choice | Wait:
+    tables = frame.tables
+    history = tables.group_views[request.request_class.group].history
+    fresh = [
+        target
+        for target in _replicas(frame, request.request_class.group)
+        if frame.now
+        - covered_since(history, tables.views[target.name].status.held)
+        <= tables.policies.fixed_lag_s
+    ]
+    if not fresh:
+        return _choose_primary(frame, request, 'no replica is fresh')
+    turns = itertools.islice(
+        itertools.cycle(fresh), request.identity % len(fresh), None
+    )
+    name = next(turns).name
+    if free_slots(tables, tables.targets[name]) < 1:
+        return Wait('replica is busy')
+    return Choice(name, 'in turn', len(fresh))
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/tables.py
@@ -0,0 +1,112 @@
+"""The tables, and the frame that a system runs in."""
+
+import math
+import random
+from collections import defaultdict
+from typing import NamedTuple
+
+from toucandeal import queues
+from toucandeal.actions import Action, Decision
+from toucandeal.entities import (
+    Caller,
+    Group,
+    GroupReport,
+    Peer,
+    Request,
+    RequestClass,
+    Target,
+    TargetView,
+    Transaction,
+    Vm,
+)
+from toucandeal.policies import Policies
+from toucandeal.staleness import History, Sample
+from toucandeal.takeovers import Takeover
+
+__all__ = ['Frame', 'GroupView', 'Self', 'Tables', 'decide']
+
+
+class Self(NamedTuple):
+    """The proxy's own identity."""
+
+    name: str
+    incarnation: int
+    peer_address: str = ''
+    caller_address: str = ''
+    failure_domain: str = ''
+
+
+class GroupView(NamedTuple):
+    """What this proxy knows of a group.
+
+    `term` is the highest term heard of; `primary` is the target promoted in
+    the highest term that has one, which is `primary_term`.
+    """
+
+    history: History
+    term: int = 0
+    term_raised_at: float = -math.inf
+    primary: str = ''
+    primary_term: int = 0
+    unproven: tuple[Sample, ...] = ()
+    healthy_at: float = -math.inf
+    suspect_since: float | None = None
+    suspect_reason: str = ''
+    takeover: Takeover | None = None
+    retry_at: float = -math.inf
+    held_until: float = -math.inf
+
+
+class Tables:
+    """All tables of one proxy."""
+
+    def __init__(self, identity: Self, policies: Policies) -> None:
+        """Start with empty tables."""
+        self.identity = identity
+        self.policies = policies
+        self.callers: dict[str, Caller] = {}
+        self.classes: dict[str, RequestClass] = {}
+        self.groups: dict[str, Group] = {}
+        self.targets: dict[str, Target] = {}
+        self.views: dict[str, TargetView] = {}
+        self.group_views: dict[str, GroupView] = {}
+        self.requests: dict[int, Request] = {}
+        self.transactions: dict[str, Transaction] = {}
+        self.peers: dict[str, Peer] = {}
+        self.reports: dict[str, dict[str, tuple[GroupReport, float]]] = (
+            defaultdict(dict)
+        )
+        self.vms: dict[str, Vm] = {}
+        self.reads: dict[str, queues.FairQueue] = defaultdict(queues.FairQueue)
+        self.writes: dict[str, queues.FairQueue] = defaultdict(queues.FairQueue)
+        self.confirming: dict[str, set[int]] = defaultdict(set)
+        self.dirty: set[str] = set()
+        self.dropped: list[Target] = []
+        self.draining = False
+        self.configuration_version = 0
+        self.share_since: float = -math.inf
+        self.proxies_counted = 0
+        self.trusted_since: float = -math.inf
+        self.ticked_at: float = -math.inf
+        self.next_identity = 0
+        self.retry_tokens: float = 0.0
+
+    def group_targets(self, group: str) -> list[Target]:
+        """Return the targets of a group, in declared order."""
+        return [self.targets[name] for name in self.groups[group].targets]
+
+
+class Frame(NamedTuple):
+    """One run of the systems: the tables, the time, and what comes of it."""
+
+    tables: Tables
+    now: float
+    random: random.Random
+    actions: list[Action]
+
+
+def decide(
+    frame: Frame, kind: str, subject: str, choice: str, reason: str, **inputs
+) -> None:
+    """Add a decision's log line to the frame."""
+    frame.actions.append(Decision(kind, subject, choice, reason, inputs))
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/transactions.py
@@ -0,0 +1,211 @@
+"""Transactions of several statements, each on a connection of its own.
+
+A transaction holds one target connection from its begin to its end. Until
+the commit is sent, closing that connection undoes everything, so every
+earlier failure is a true "not run". The request key is written right after
+the begin; a repeated transaction meets it and learns the recorded outcome.
+"""
+
+from toucandeal.actions import DropTransaction, Execute
+from toucandeal.answers import finish, try_again
+from toucandeal.confirming import confirm
+from toucandeal.entities import Operation, Phase, Request, Transaction
+from toucandeal.errors import UnknownTransaction
+from toucandeal.outcomes import Failed, Refused, Served, Unknown
+from toucandeal.results import DatabaseFailed, Ran, Result, TargetRefused
+from toucandeal.tables import Frame, Tables, decide
+
+__all__ = [
+    'drop_transaction',
+    'expire_operation',
+    'find_transaction',
+    'operation_answered',
+    'roll_back_idle',
+    'start_operation',
+]
+
+RETRY_AFTER_S = 0.1
+_ROLLED_BACK = 'the transaction was rolled back; begin it again'
+
+
+def find_transaction(tables: Tables, identity: str, caller: str) -> Transaction:
+    """Return an open transaction of `caller`.
+
+    Raises
+    ------
+    UnknownTransaction
+        It has ended, is another caller's, or runs a statement right now.
+    """
+    transaction = tables.transactions.get(identity)
+    if transaction is None or transaction.caller != caller:
+        raise UnknownTransaction(
+            f'Transaction {identity!r} is not open',
+            'Begin a new one with the same request key; what was committed '
+            'under that key is not run again',
+        )
+    if transaction.busy:
+        raise UnknownTransaction(
+            f'Transaction {identity!r} is running a statement',
+            'Send its statements one after another',
+        )
+    return transaction
+
+
+def start_operation(frame: Frame, request: Request) -> None:
+    """Send a statement, commit or rollback to its transaction's target."""
+    tables = frame.tables
+    transaction = tables.transactions[request.transaction]
+    tables.transactions[transaction.identity] = transaction._replace(
+        busy=True, used_at=frame.now
+    )
+    view = tables.views.get(transaction.target)
+    if view is not None:
+        tables.views[transaction.target] = view._replace(
+            in_flight=view.in_flight + 1
+        )
+    tables.requests[request.identity] = request._replace(
+        phase=Phase.SENT,
+        target=transaction.target,
+        term=transaction.term,
+        sent_at=frame.now,
+        attempts=1,
+    )
+    frame.actions.append(
+        Execute(
+            request.identity,
+            transaction.target,
+            request.operation,
+            transaction.term,
+            transaction.identity,
+            request.deadline_at,
+        )
+    )
+    decide(
+        frame,
+        'route',
+        str(request.identity),
+        transaction.target,
+        'holds the transaction',
+        transaction=transaction.identity,
+        operation=request.operation.value,
+    )
+
+
+def operation_answered(
+    frame: Frame, request: Request, target: str, result: Result
+) -> None:
+    """Take in what became of an operation of a transaction."""
+    if request.operation is Operation.BEGIN:
+        _begin_answered(frame, request, target, result)
+    elif isinstance(result, Ran):
+        _operation_ran(frame, request, result)
+    else:
+        _operation_failed(frame, request, target, result)
+
+
+def _begin_answered(
+    frame: Frame, request: Request, target: str, result: Result
+) -> None:
+    tables = frame.tables
+    if isinstance(result, Ran) and result.replayed:
+        confirm(frame, request, result)
+    elif isinstance(result, Ran):
+        tables.transactions[request.transaction] = Transaction(
+            request.transaction,
+            request.caller,
+            request.request_class,
+            request.key,
+            target,
+            request.term,
+            frame.now,
+        )
+        _pin(tables, target, 1)
+        finish(frame, request, Served(result.answer, target, request.seen))
+    elif isinstance(result, DatabaseFailed):
+        finish(
+            frame,
+            request,
+            Failed('the transaction did not begin', result.error, target),
+        )
+    else:
+        try_again(frame, request, result.reason)
+
+
+def _operation_ran(frame: Frame, request: Request, result: Ran) -> None:
+    tables = frame.tables
+    if request.operation is Operation.STATEMENT:
+        transaction = tables.transactions[request.transaction]
+        tables.transactions[request.transaction] = transaction._replace(
+            busy=False, used_at=frame.now
+        )
+        answer = Served(result.answer, request.target, request.seen)
+        finish(frame, request, answer)
+        return
+    _forget(tables, request.transaction)
+    if request.operation is Operation.COMMIT:
+        confirm(frame, request, result)
+    else:
+        answer = Served(result.answer, request.target, request.seen)
+        finish(frame, request, answer)
+
+
+def _operation_failed(
+    frame: Frame, request: Request, target: str, result: Result
+) -> None:
+    drop_transaction(frame, request.transaction, 'an operation failed')
+    if isinstance(result, DatabaseFailed):
+        outcome = Failed(_ROLLED_BACK, result.error, target)
+    elif request.operation is Operation.COMMIT and not isinstance(
+        result, TargetRefused
+    ):
+        outcome = Unknown(
+            'the answer to the commit was lost; repeat the transaction with '
+            'the same request key',
+            RETRY_AFTER_S,
+        )
+    else:
+        outcome = Refused(f'{result.reason}; {_ROLLED_BACK}', RETRY_AFTER_S)
+    finish(frame, request, outcome)
+
+
+def expire_operation(frame: Frame, request: Request) -> None:
+    """Give up an operation that was sent and is overdue."""
+    drop_transaction(frame, request.transaction, 'an operation is overdue')
+    if request.operation is Operation.COMMIT:
+        outcome = Unknown('the commit is overdue', RETRY_AFTER_S)
+    else:
+        outcome = Refused(f'overdue; {_ROLLED_BACK}', RETRY_AFTER_S)
+    finish(frame, request, outcome)
+
+
+def _pin(tables: Tables, target: str, change: int) -> None:
+    view = tables.views.get(target)
+    if view is not None:
+        pinned = max(view.pinned + change, 0)
+        tables.views[target] = view._replace(pinned=pinned)
+        tables.dirty.add(tables.targets[target].group)
+
+
+def _forget(tables: Tables, identity: str) -> None:
+    transaction = tables.transactions.pop(identity, None)
+    if transaction is not None:
+        _pin(tables, transaction.target, -1)
+
+
+def drop_transaction(frame: Frame, identity: str, reason: str) -> None:
+    """End a transaction by closing its connection, which rolls it back."""
+    _forget(frame.tables, identity)
+    frame.actions.append(DropTransaction(identity))
+    decide(frame, 'transaction', identity, 'rolled back', reason)
+
+
+def roll_back_idle(frame: Frame) -> None:
+    """End the transactions that have been idle for too long."""
+    oldest = frame.now - frame.tables.policies.idle_transaction_s
+    idle = [
+        transaction.identity
+        for transaction in frame.tables.transactions.values()
+        if not transaction.busy and transaction.used_at < oldest
+    ]
+    for identity in idle:
+        drop_transaction(frame, identity, 'idle for too long')
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/app.py
@@ -0,0 +1,153 @@
+"""The composition root: makes the parts and wires them."""
+
+import contextlib
+import random
+import time
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.web import resource
+
+from toucandeal import engine
+from toucandeal.tables import Self, Tables
+from toucandeald.caller_service import CallerService
+from toucandeald.configuration_sync import ConfigurationSync
+from toucandeald.lifecycle import LifecycleState, new_lifecycle
+from toucandeald.logs import Metrics, log_event
+from toucandeald.maintenance import Maintenance
+from toucandeald.membership_sync import MembershipSync
+from toucandeald.operator_service import OperatorService
+from toucandeald.peers import PeerSockets
+from toucandeald.platform_store import Platform
+from toucandeald.probes import Probe
+from toucandeald.repeating import call_every
+from toucandeald.runtime import Runtime
+from toucandeald.settings import Settings
+from toucandeald.shutdown import Shutdown
+from toucandeald.targets import Targets
+from toucandeald.web import CallerResource, Connections, listen
+
+__all__ = ['monotonic', 'running', 'start']
+
+INCARNATIONS = 2_147_483_648
+
+
+def monotonic() -> float:
+    """Return seconds that also count while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Parts(NamedTuple):
+    """What runs."""
+
+    runtime: Runtime
+    lifecycle: object
+    peers: PeerSockets
+    configuration: ConfigurationSync
+    membership: MembershipSync
+    maintenance: Maintenance
+    callers: CallerService
+    operators: OperatorService
+    connections: Connections
+    state: LifecycleState
+
+
+@contextlib.contextmanager
+def running(reactor, settings: Settings) -> Iterator[Parts]:
+    """Make the parts, and close the sockets between proxies at the end."""
+    identity = Self(
+        settings.name,
+        random.SystemRandom().randrange(INCARNATIONS),
+        settings.listen_peers,
+        settings.listen_callers,
+        settings.failure_domain,
+    )
+    tables = Tables(identity, settings.policies)
+    tables.share_since = monotonic()
+    tables.ticked_at = monotonic()
+    metrics = Metrics(settings.statsd)
+    targets = Targets(reactor, monotonic)
+    runtime = Runtime(reactor, monotonic, tables, targets, metrics)
+    membership = MembershipSync(reactor, monotonic, runtime, settings.peers)
+    configuration = ConfigurationSync(
+        reactor,
+        runtime,
+        Platform(reactor, settings.platform),
+        membership.send,
+        settings.listen_peers,
+    )
+    callers = CallerService(
+        runtime, settings.token_secrets, settings.max_body_bytes
+    )
+    callers.forward = membership.forward
+    operators = OperatorService(runtime, configuration, settings.token_secrets)
+    runtime.tell_peers = membership.beat
+    membership.configuration = configuration
+    membership.callers = callers
+    connections = Connections()
+    shutdown = Shutdown(
+        reactor, runtime, connections, membership, settings.stop_timeout_s
+    )
+    state = LifecycleState(shutdown.begin, reactor.stop)
+    lifecycle = new_lifecycle(state)
+    shutdown.lifecycle = lifecycle
+    maintenance = Maintenance(reactor, runtime, metrics, monotonic)
+    peers = PeerSockets(reactor, settings.listen_peers, membership.received)
+    membership.sockets = peers
+    try:
+        yield Parts(
+            runtime,
+            lifecycle,
+            peers,
+            configuration,
+            membership,
+            maintenance,
+            callers,
+            operators,
+            connections,
+            state,
+        )
+    finally:
+        peers.close()
+
+
+@defer.inlineCallbacks
+def start(reactor, settings: Settings, parts: Parts):
+    """Listen, then begin the repeated work.
+
+    Raises
+    ------
+    BadSetting
+        A port can't be used.
+    """
+    caller_root = CallerResource(
+        parts.callers.handle, parts.connections, settings.max_body_bytes
+    )
+    operator_root = resource.Resource()
+    operator_root.putChild(
+        b'v1',
+        CallerResource(
+            parts.operators.handle, Connections(), settings.max_body_bytes
+        ),
+    )
+    operator_root.putChild(b'live', Probe(lambda: True))
+    operator_root.putChild(b'ready', Probe(lambda: parts.state.ready))
+    yield listen(
+        reactor, '--listen-operators', settings.listen_operators, operator_root
+    )
+    yield listen(
+        reactor, '--listen-callers', settings.listen_callers, caller_root
+    )
+    parts.configuration.follow_store()
+    parts.configuration.follow_vms()
+    call_every(2 * settings.policies.heartbeat_s, parts.membership.beat)
+    call_every(engine.TICK_S, lambda: _tick(parts))
+    parts.maintenance.begin()
+    log_event('started', name=settings.name)
+
+
+def _tick(parts: Parts) -> None:
+    parts.runtime.tick()
+    if parts.runtime.tables.proxies_counted and not parts.state.ready:
+        parts.lifecycle.started()
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/peers.py
@@ -0,0 +1,110 @@
+"""The adapter to the other proxies, over one-way ZeroMQ sockets.
+
+Each proxy receives on one PULL socket and has a PUSH socket for each peer.
+A message that can't be sent at once is dropped: heartbeats repeat, and what
+is asked for is asked for again.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+import zmq
+from twisted.internet.interfaces import IReadDescriptor
+from zope.interface import implementer
+
+from toucandeal.errors import BadSetting
+from toucandeald.peer_wire import Message
+
+__all__ = ['PeerSockets']
+
+HIGH_WATER = 1000  # messages queued for a peer
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 500
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Message).decode
+
+
+@implementer(IReadDescriptor)
+class PeerSockets:
+    """The sockets of a proxy."""
+
+    def __init__(
+        self, reactor, address: str, received: Callable[[Message], None]
+    ) -> None:
+        """Bind the receiving socket and pass each message to `received`."""
+        self._reactor = reactor
+        self._received = received
+        self._context = zmq.Context(io_threads=1)
+        self._pull = self._context.socket(zmq.PULL)
+        self._push: dict[str, zmq.Socket] = {}
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        try:
+            self._pull.bind(f'tcp://{address}')
+        except zmq.ZMQError as error:
+            raise BadSetting(
+                f'--listen-peers {address} can not be used: {error}',
+                'Choose a free port, or end the process that uses this one',
+            ) from None
+        reactor.addReader(self)
+        reactor.callLater(0, self.doRead)
+
+    def fileno(self) -> int:
+        """Return the descriptor that signals activity."""
+        return self._pull.getsockopt(zmq.FD)
+
+    def logPrefix(self) -> str:  # noqa: N802
+        """Return the name for the reactor's log."""
+        return 'peers'
+
+    def connectionLost(self, reason) -> None:  # noqa: N802
+        """Satisfy the interface; the socket reconnects by itself."""
+
+    def doRead(self) -> None:  # noqa: N802
+        """Receive all that is there; the descriptor signals edges only."""
+        while not self._pull.closed:
+            try:
+                frame = self._pull.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self.bytes_received += len(frame)
+            try:
+                message = _decode(frame)
+            except msgspec.MsgspecError:
+                continue
+            self._received(message)
+
+    def send(self, address: str, message: Message) -> bool:
+        """Send a message to a peer; return whether it was taken."""
+        frame = _encode(message)
+        try:
+            self._socket(address).send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        self.bytes_sent += len(frame)
+        return True
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the sockets of peers that are gone."""
+        for address in set(self._push) - addresses:
+            self._push.pop(address).close(linger=0)
+
+    def close(self, linger_ms: int = 100) -> None:
+        """Close all sockets; what was sent leaves first."""
+        self._reactor.removeReader(self)
+        for socket in (self._pull, *self._push.values()):
+            socket.close(linger=linger_ms)
+        self._context.term()
+
+    def _socket(self, address: str) -> zmq.Socket:
+        if address not in self._push:
+            socket = self._context.socket(zmq.PUSH)
+            socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
+            socket.setsockopt(zmq.LINGER, 0)
+            socket.setsockopt(zmq.IMMEDIATE, 1)
+            socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+            socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+            socket.connect(f'tcp://{address}')
+            self._push[address] = socket
+        return self._push[address]
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/platform_store.py
@@ -0,0 +1,115 @@
+"""The adapter to the platform: table service and list of VMs."""
+
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+from twisted.internet import defer
+
+from toucandeal.errors import StoreUnavailable
+from toucandeald.http_client import HttpConnection, HttpLost, connect
+
+__all__ = ['Condition', 'Platform', 'Stored', 'Write']
+
+TIMEOUT_S = 1.0
+_REMEDY = 'Nothing is known to have changed; try again once the store answers'
+
+
+class Condition(msgspec.Struct):
+    """A row's expected version; 0 for a row that does not exist."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Write(msgspec.Struct):
+    """A row's new value."""
+
+    table: str
+    key: str
+    value: Any
+
+
+class Stored(msgspec.Struct):
+    """A row as read."""
+
+    version: int
+    value: Any
+
+
+class VmRow(msgspec.Struct):
+    """A row of the list of VMs."""
+
+    name: str
+    failure_domain: str = ''
+    peer_address: str = ''
+    caller_address: str = ''
+    leaving: bool = False
+
+
+class Platform:
+    """One connection to the platform; requests wait for one another."""
+
+    def __init__(self, reactor, address: str) -> None:
+        """Take the platform's address."""
+        self._reactor = reactor
+        self._address = address
+        self._connection: HttpConnection | None = None
+        self._lock = defer.DeferredLock()
+
+    @defer.inlineCallbacks
+    def _request(self, method: str, path: str, body: Any = None):
+        yield self._lock.acquire()
+        try:
+            if self._connection is None or not self._connection.usable:
+                self._connection = yield connect(
+                    self._reactor, self._address, TIMEOUT_S
+                )
+            encoded = b'' if body is None else msgspec.json.encode(body)
+            reply = yield self._connection.request(
+                method, path, encoded, TIMEOUT_S
+            )
+        except HttpLost as error:
+            raise StoreUnavailable(
+                f'The store gives no answer ({error.reason})', _REMEDY
+            ) from None
+        finally:
+            self._lock.release()
+        if reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise StoreUnavailable('The store is failing', _REMEDY)
+        return reply
+
+    @defer.inlineCallbacks
+    def row(self, table: str, key: str):
+        """Return a row, or None."""
+        reply = yield self._request('GET', f'/tables/{table}/{key}')
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return None
+        return msgspec.json.decode(reply.body, type=Stored)
+
+    @defer.inlineCallbacks
+    def rows(self, table: str):
+        """Return all rows of a table by key."""
+        reply = yield self._request('GET', f'/tables/{table}')
+        return msgspec.json.decode(reply.body, type=dict[str, Stored])
+
+    @defer.inlineCallbacks
+    def transact(self, conditions: list[Condition], writes: list[Write]):
+        """Write all rows if all conditions hold; return whether they did.
+
+        Raises
+        ------
+        StoreUnavailable
+            No answer came; the writes may have taken effect.
+        """
+        reply = yield self._request(
+            'POST', '/transact', {'conditions': conditions, 'writes': writes}
+        )
+        return reply.status == HTTPStatus.OK
+
+    @defer.inlineCallbacks
+    def vms(self):
+        """Return the platform's list of VMs."""
+        reply = yield self._request('GET', '/vms')
+        return msgspec.json.decode(reply.body, type=list[VmRow])
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/probes.py
@@ -0,0 +1,25 @@
+"""Liveness and readiness, for the balancer."""
+
+from collections.abc import Callable
+
+from twisted.web import http, resource
+
+__all__ = ['Probe']
+
+
+class Probe(resource.Resource):
+    """Answers 200 while a condition holds, else 503."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, condition: Callable[[], bool]) -> None:
+        """Take the condition."""
+        super().__init__()
+        self._condition = condition
+
+    def render_GET(self, request) -> bytes:  # noqa: N802
+        """Answer."""
+        if self._condition():
+            return b'yes\n'
+        request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        return b'no\n'
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/web.py
@@ -0,0 +1,118 @@
+"""The HTTP servers, for callers and for operators."""
+
+import math
+from collections.abc import Callable
+
+from twisted.internet import defer, endpoints, error
+from twisted.web import http, resource, server
+
+from toucandeal.errors import BadSetting
+from toucandeald.caller_service import Reply
+from toucandeald.http_client import host_port
+from toucandeald.logs import log_event
+
+__all__ = ['SESSION_HEADER', 'CallerResource', 'Connections', 'listen']
+
+SESSION_HEADER = b'toucandeal-session'
+_JSON = b'application/json'
+
+
+class Connections:
+    """Requests that are being answered, and whether to close after them."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.answering = 0
+        self.closing = False
+
+
+class CallerResource(resource.Resource):
+    """Passes each request to a handler and writes its reply."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self,
+        handler: Callable[[str, str, bytes], defer.Deferred],
+        connections: Connections,
+        max_body_bytes: int,
+    ) -> None:
+        """Take the handler and the record of requests."""
+        super().__init__()
+        self._handler = handler
+        self._connections = connections
+        self._max_body_bytes = max_body_bytes
+
+    def render_POST(self, request: server.Request):  # noqa: N802
+        """Answer a POST once the handler has a reply."""
+        token = request.requestHeaders.getRawHeaders(SESSION_HEADER, [b''])[0]
+        # One byte over the limit is enough for the handler to refuse it.
+        body = request.content.read(self._max_body_bytes + 1)
+        self._connections.answering += 1
+        answer = self._handler(
+            request.path.decode('utf-8', 'replace'),
+            token.decode('latin-1'),
+            body,
+        )
+        ended = request.notifyFinish()
+        ended.addErrback(lambda _: None)
+        answer.addErrback(_unexpected)
+        answer.addCallback(self._write, request)
+        return server.NOT_DONE_YET
+
+    def _write(self, reply: Reply, request: server.Request) -> None:
+        self._connections.answering -= 1
+        # pylint: disable=protected-access
+        if request._disconnected:  # noqa: SLF001
+            return
+        request.setResponseCode(reply.status)
+        request.setHeader(b'content-type', _JSON)
+        request.setHeader(b'content-length', b'%d' % len(reply.body))
+        if reply.token:
+            request.setHeader(SESSION_HEADER, reply.token.encode('ascii'))
+        if reply.retry_after_s:
+            seconds = math.ceil(reply.retry_after_s)
+            request.setHeader(b'retry-after', b'%d' % seconds)
+        if self._connections.closing:
+            request.setHeader(b'connection', b'close')
+            request.channel.persistent = False
+        request.write(reply.body)
+        request.finish()
+
+
+def _unexpected(failure) -> Reply:
+    log_event(
+        'fault',
+        error=failure.getErrorMessage(),
+        trace=failure.getTraceback(),
+    )
+    body = (
+        b'{"error": {"kind": "internal", "problem": "The proxy failed", '
+        b'"remedy": "Repeat with the same request key, and report the log"}}'
+    )
+    return Reply(http.INTERNAL_SERVER_ERROR, '', body)
+
+
+@defer.inlineCallbacks
+def listen(reactor, flag: str, address: str, root: resource.Resource):
+    """Serve `root` at `address`.
+
+    Raises
+    ------
+    BadSetting
+        The address can't be used.
+    """
+    host, port = host_port(address)
+    site = server.Site(root)
+    site.displayTracebacks = False
+    endpoint = endpoints.TCP4ServerEndpoint(
+        reactor, port, backlog=1024, interface=host
+    )
+    try:
+        listening = yield endpoint.listen(site)
+    except error.CannotListenError as failed:
+        raise BadSetting(
+            f'{flag} {address} can not be used: {failed.socketError}',
+            'Choose a free port, or end the process that uses this one',
+        ) from None
+    return listening
