--- a/packages/toucandeal-standins/src/toucandeal_standins/cluster.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/cluster.py
@@ -206,6 +206,18 @@
         return post(self.operators, '/v1/commands', body)[2]
 
 
+class Link(NamedTuple):
+    """A fault-injecting proxy on the way to another process."""
+
+    address: str
+    control: str
+    process: Process
+
+    def fault(self, **changes: Any) -> None:
+        """Switch faults of the link."""
+        post(self.control, '/', changes)
+
+
 class Cluster:
     """Everything that runs."""
 
@@ -217,7 +229,7 @@
         self.platform: Process | None = None
         self.groups: dict[str, list[Server]] = {}
         self.proxies: list[Proxy] = []
-        self.others: list[Process] = []
+        self.links: dict[tuple[str, str], Link] = {}
 
     def processes(self) -> list[Process]:
         """Return every process."""
@@ -226,7 +238,8 @@
         )
         proxies = (proxy.process for proxy in self.proxies)
         platform = [self.platform] if self.platform else []
-        return [*platform, *servers, *proxies, *self.others]
+        links = (link.process for link in self.links.values())
+        return [*platform, *servers, *proxies, *links]
 
     def primary(self, group: str) -> Server:
         """Return the server that is primary in the highest term."""
@@ -250,6 +263,40 @@
         post(self.platform_address, '/fault', changes)
 
 
+def start_link(cluster: Cluster, near: str, far: str, upstream: str) -> Link:
+    """Put a fault-injecting proxy between two processes."""
+    ports = [free_port(), free_port()]
+    process = Process(
+        'toucandeal_standins.fault_proxy',
+        f'--port={ports[0]}',
+        f'--control-port={ports[1]}',
+        f'--upstream={upstream}',
+        log=cluster.folder / f'{near}-{far}.log',
+    )
+    address, control = (f'127.0.0.1:{port}' for port in ports)
+    link = Link(address, control, process)
+    cluster.links[near, far] = link
+    wait_until(lambda: post(control, '/', {}), f'link {near} to {far}')
+    return link
+
+
+def _links_of(cluster: Cluster, name: str, peer: str) -> list[str]:
+    """Put links before everything that a proxy reaches; return its flags."""
+    routes = [
+        f'--route={server.name}='
+        + start_link(cluster, name, server.name, server.address).address
+        for group in cluster.groups.values()
+        for server in group
+    ]
+    platform = start_link(cluster, name, 'platform', cluster.platform_address)
+    inbound = start_link(cluster, 'peers', name, peer)
+    return [
+        *routes,
+        f'--platform={platform.address}',
+        f'--advertise-peers={inbound.address}',
+    ]
+
+
 def _start_platform(cluster: Cluster) -> None:
     port = cluster.platform_address.partition(':')[2]
     cluster.platform = Process(
@@ -295,7 +342,9 @@
         wait_until(server.status, server.name)
 
 
-def _start_proxies(cluster: Cluster, flags: tuple[str, ...]) -> None:
+def _start_proxies(
+    cluster: Cluster, flags: tuple[str, ...], linked: int
+) -> None:
     domains = cluster.deployment.failure_domains
     peers = [
         f'127.0.0.1:{free_port()}' for _ in range(cluster.deployment.proxies)
@@ -308,6 +357,7 @@
             peer,
             [other for other in peers if other != peer],
             flags,
+            linked=number < linked,
         )
     for proxy in cluster.proxies:
         wait_until(proxy.ready, proxy.name)
@@ -320,8 +370,11 @@
     peer: str,
     others: list[str],
     flags: tuple[str, ...] = (),
+    *,
+    linked: bool = False,
 ) -> Proxy:
-    """Start one more proxy."""
+    """Start one more proxy, with links before all it reaches if `linked`."""
+    links = _links_of(cluster, name, peer) if linked else ()
     callers, operators = (f'127.0.0.1:{free_port()}' for _ in range(2))
     log = cluster.folder / f'{name}.jsonl'
     process = Process(
@@ -336,6 +389,7 @@
         f'--log-file={log}',
         *(f'--peer={other}' for other in others),
         *flags,
+        *links,
         log=cluster.folder / f'{name}.err',
     )
     proxy = Proxy(name, callers, operators, peer, process, log)
@@ -368,16 +422,25 @@
 
 @contextlib.contextmanager
 def running_cluster(
-    deployment: Deployment, flags: tuple[str, ...] = ()
+    deployment: Deployment, flags: tuple[str, ...] = (), linked: int = 0
 ) -> Iterator[Cluster]:
-    """Start a deployment, and end each of its processes at the end."""
+    """Start a deployment, and end each of its processes at the end.
+
+    Parameters
+    ----------
+    deployment : Deployment
+    flags : tuple of str
+        Further flags of each proxy.
+    linked : int
+        How many proxies get links before all that they reach.
+    """
     with tempfile.TemporaryDirectory(prefix='toucandeal-') as folder:
         cluster = Cluster(deployment, Path(folder))
         try:
             _start_platform(cluster)
             for group in group_names(deployment):
                 _start_group(cluster, group)
-            _start_proxies(cluster, flags)
+            _start_proxies(cluster, flags, linked)
             yield cluster
         finally:
             for process in cluster.processes():
--- /dev/null
+++ b/packages/toucandeal-standins/src/toucandeal_standins/declared.py
@@ -0,0 +1,79 @@
+"""A deployment with the reel catalogue declared, ready for requests."""
+
+import contextlib
+from collections.abc import Iterator
+
+from toucandeal_standins import catalogue
+from toucandeal_standins.cluster import (
+    ATELIER,
+    Cluster,
+    Deployment,
+    declare_group_text,
+    group_names,
+    running_cluster,
+    wait_until,
+)
+from toucandeal_standins.requests import SyncSession
+
+__all__ = ['declare_all', 'declared_cluster']
+
+CHECKS = (
+    'declare class slow of {group} write once deadline 5s',
+    'declare class lookup of {group} read deadline 5s',
+)
+
+
+def declare_all(cluster: Cluster) -> None:
+    """Declare the groups and classes and make the catalogue's tables.
+
+    Raises
+    ------
+    RuntimeError
+        A command or the schema was not accepted.
+    """
+    names = group_names(cluster.deployment)
+    for number, group in enumerate(names):
+        suffix = f'-{number}' if len(names) > 1 else ''
+        commands = [
+            declare_group_text(cluster, group),
+            *catalogue.declarations(group, suffix),
+            *(text.format(group=group) for text in CHECKS[: 2 - 2 * number]),
+        ]
+        for command in commands:
+            _expect('in_force', cluster.proxies[0].command(command))
+    wait_until(lambda: _all_writable(cluster), 'primaries')
+    session = SyncSession(cluster, 'conservators')
+    for number, _ in enumerate(names):
+        suffix = f'-{number}' if len(names) > 1 else ''
+        served = session.write(
+            'schema',
+            catalogue.schema(),
+            proxy=0,
+            request_class=f'booking{suffix}',
+        )
+        _expect('results', served.body)
+
+
+def _expect(field: str, answer: dict) -> None:
+    if field not in answer:
+        raise RuntimeError(f'not accepted: {answer}')
+
+
+def _all_writable(cluster: Cluster) -> bool:
+    return all(
+        row['writable']
+        for proxy in cluster.proxies
+        for row in proxy.command('show groups')['rows']
+    )
+
+
+@contextlib.contextmanager
+def declared_cluster(
+    deployment: Deployment = ATELIER,
+    flags: tuple[str, ...] = (),
+    linked: int = 0,
+) -> Iterator[Cluster]:
+    """Run a deployment whose groups are writable on every proxy."""
+    with running_cluster(deployment, flags, linked) as cluster:
+        declare_all(cluster)
+        yield cluster
--- a/packages/toucandeal-standins/src/toucandeal_standins/requests.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/requests.py
@@ -10,6 +10,9 @@
 __all__ = ['Reply', 'SyncSession', 'in_background']
 
 
+TIMEOUT_S = 15.0
+
+
 class Reply(NamedTuple):
     """A proxy's answer; status 0 where the connection was lost."""
 
@@ -36,6 +39,7 @@
         """Start a new session."""
         self.caller = caller
         self.token = ''
+        self.timeout_s = TIMEOUT_S
         self._cluster = cluster
 
     def post(self, proxy: int, path: str, body: Any) -> Reply:
@@ -43,7 +47,9 @@
         address = self._cluster.proxies[proxy].callers
         headers = {'Toucandeal-Session': self.token} if self.token else {}
         try:
-            status, received, answer = post(address, path, body, headers)
+            status, received, answer = post(
+                address, path, body, headers, self.timeout_s
+            )
         except (OSError, client.HTTPException):
             return Reply(0, {})
         self.token = received.get('toucandeal-session', self.token)
--- a/packages/toucandeal/src/toucandeal/failover.py
+++ b/packages/toucandeal/src/toucandeal/failover.py
@@ -216,10 +216,7 @@
         elif waited > policies.takeover_timeout_s:
             _abandon(frame, group, 'the primary gave no answer')
         return
-    limit = policies.takeover_timeout_s
-    if takeover.wanted:
-        limit += policies.switchover_timeout_s
-    if waited > limit:
+    if waited > policies.takeover_timeout_s:
         _abandon(frame, group, 'timeout')
 
 
@@ -235,7 +232,13 @@
         want_polls(tables, group)
         return
     wanted = takeover.wanted if caught_up else ''
-    _set(tables, group, takeover._replace(stage=Stage.FENCING, wanted=wanted))
+    _set(
+        tables,
+        group,
+        takeover._replace(
+            stage=Stage.FENCING, started_at=frame.now, wanted=wanted
+        ),
+    )
     granted = {grant.target for grant in takeover.grants}
     frame.actions.extend(
         Fence(group, name, takeover.term)
--- a/packages/toucandeald/src/toucandeald/app.py
+++ b/packages/toucandeald/src/toucandeald/app.py
@@ -59,15 +59,16 @@
     identity = Self(
         settings.name,
         random.SystemRandom().randrange(INCARNATIONS),
-        settings.listen_peers,
+        settings.advertise_peers or settings.listen_peers,
         settings.listen_callers,
         settings.failure_domain,
     )
+    routes = dict(route.split('=') for route in settings.routes)
     tables = Tables(identity, settings.policies)
     tables.share_since = monotonic()
     tables.ticked_at = monotonic()
     metrics = Metrics(settings.statsd)
-    targets = Targets(reactor, monotonic)
+    targets = Targets(reactor, monotonic, routes)
     runtime = Runtime(reactor, monotonic, tables, targets, metrics)
     membership = MembershipSync(reactor, monotonic, runtime, settings.peers)
     configuration = ConfigurationSync(
@@ -75,7 +76,7 @@
         runtime,
         Platform(reactor, settings.platform),
         membership.send,
-        settings.listen_peers,
+        identity.peer_address,
     )
     callers = CallerService(
         runtime, settings.token_secrets, settings.max_body_bytes
--- a/packages/toucandeald/src/toucandeald/http_client.py
+++ b/packages/toucandeald/src/toucandeald/http_client.py
@@ -59,6 +59,9 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._headers: dict[bytes, bytes] = {}
+        self._reply: HttpReply | None = None
+        self._messages = 0
+        self._keep = False
 
     @property
     def busy(self) -> bool:
@@ -100,6 +103,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._chunks = []
         self._headers = {}
+        self._reply = None
+        self._messages = 0
         self._size = 0
         self._timer = self._clock.callLater(
             max(timeout_s, 0), self._fail, 'the answer is overdue'
@@ -125,22 +130,16 @@
         self._chunks.append(chunk)
 
     def on_message_complete(self) -> None:
-        """Deliver the answer (called by the parser)."""
-        parser = self._parser
-        answer = self._answer
-        self._parser = None
-        self._answer = None
-        self._stop_timer()
-        if not parser.should_keep_alive():
-            self.usable = False
-            self.transport.loseConnection()
-        if answer is not None:
+        """Keep the first whole answer (called by the parser)."""
+        self._messages += 1
+        if self._messages == 1:
+            status = self._parser.get_status_code()
             body = b''.join(self._chunks)
-            status = parser.get_status_code()
-            answer.callback(HttpReply(status, body, self._headers))
+            self._reply = HttpReply(status, body, self._headers)
+            self._keep = self._parser.should_keep_alive()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Feed the parser."""
+        """Feed the parser, and deliver the answer once it is whole."""
         if self._parser is None:
             self._fail('an answer came that nobody asked for')
             return
@@ -148,8 +147,27 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._fail('the answer is malformed')
+            return
         if self._size > MAX_REPLY_BYTES:
             self._fail('the answer is too large')
+        elif self._reply is not None:
+            self._deliver()
+
+    def _deliver(self) -> None:
+        # The next request may leave from within the callback, so the state
+        # of this one is gone before, and a connection that sent more than
+        # was asked for is closed before.
+        answer = self._answer
+        reply = self._reply
+        keep = self._keep and self._messages == 1
+        self._answer = None
+        self._parser = None
+        self._reply = None
+        self._stop_timer()
+        if not keep:
+            self.usable = False
+            self.transport.loseConnection()
+        answer.callback(reply)
 
     def connectionLost(self, reason=None) -> None:  # noqa: N802
         """Fail the outstanding request."""
--- a/packages/toucandeald/src/toucandeald/main.py
+++ b/packages/toucandeald/src/toucandeald/main.py
@@ -25,6 +25,17 @@
 @click.option('--listen-peers', required=True, help='IP:PORT')
 @click.option('--platform', required=True, help='IP:PORT of the table service.')
 @click.option('--peer', 'peers', multiple=True, help='IP:PORT of a proxy.')
+@click.option(
+    '--advertise-peers',
+    default='',
+    help='IP:PORT at which peers reach this proxy, if it is another one.',
+)
+@click.option(
+    '--route',
+    'routes',
+    multiple=True,
+    help='TARGET=IP:PORT, for a target that this proxy reaches elsewhere.',
+)
 @click.option(
     '--token-keys',
     required=True,
--- a/packages/toucandeald/src/toucandeald/settings.py
+++ b/packages/toucandeald/src/toucandeald/settings.py
@@ -27,6 +27,8 @@
     listen_operators: str
     listen_peers: str
     platform: str
+    advertise_peers: str
+    routes: tuple[str, ...]
     peers: tuple[str, ...]
     token_secrets: tuple[bytes, ...]
     statsd: str
@@ -66,6 +68,10 @@
     for flag in ('listen_callers', 'listen_operators', 'listen_peers'):
         check_address(_flag(flag), getattr(settings, flag))
     check_address('--platform', settings.platform)
+    if settings.advertise_peers:
+        check_address('--advertise-peers', settings.advertise_peers)
+    for route in settings.routes:
+        check_address('--route', route.partition('=')[2])
     for peer in settings.peers:
         check_address('--peer', peer)
     if settings.statsd:
--- a/packages/toucandeald/src/toucandeald/targets.py
+++ b/packages/toucandeald/src/toucandeald/targets.py
@@ -52,8 +52,13 @@
 class Targets:
     """The pools of all targets, and the connections of open transactions."""
 
-    def __init__(self, reactor, now) -> None:
-        """Take the reactor and the clock of the tables."""
+    def __init__(self, reactor, now, routes: dict[str, str]) -> None:
+        """Take the reactor, the clock of the tables, and own addresses.
+
+        `routes` names the targets that this proxy reaches at another address
+        than the declared one.
+        """
+        self._routes = routes
         self._reactor = reactor
         self._now = now
         self._pools: dict[str, TargetPool] = {}
@@ -62,6 +67,7 @@
 
     def resize(self, target: str, address: str, size: int) -> None:
         """Hold `size` data connections to a target."""
+        address = self._routes.get(target, address)
         pool = self._pools.get(target)
         if pool is not None and pool.address != address:
             pool.close()
@@ -74,7 +80,8 @@
     def pool(self, target: str, address: str) -> TargetPool:
         """Return the pool of a target, made if need be."""
         if target not in self._pools:
-            self._pools[target] = TargetPool(self._reactor, address)
+            own = self._routes.get(target, address)
+            self._pools[target] = TargetPool(self._reactor, own)
         return self._pools[target]
 
     @defer.inlineCallbacks
