--- /dev/null
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on real processes; run with ``make bench``."""
--- a/packages/toucandeal-standins/src/toucandeal_standins/cluster.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/cluster.py
@@ -22,6 +22,9 @@
     'Cluster',
     'Deployment',
     'Process',
+    'class_suffixes',
+    'group_names',
+    'declare_group_text',
     'Proxy',
     'free_port',
     'post',
@@ -420,6 +423,13 @@
     ]
 
 
+def class_suffixes(deployment: Deployment) -> list[str]:
+    """Return what follows a class's name for each group of a deployment."""
+    if deployment.groups == 1:
+        return ['']
+    return [f'-{number}' for number in range(deployment.groups)]
+
+
 @contextlib.contextmanager
 def running_cluster(
     deployment: Deployment, flags: tuple[str, ...] = (), linked: int = 0
--- a/packages/toucandeal-standins/src/toucandeal_standins/database.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/database.py
@@ -5,6 +5,7 @@
 """
 
 import sqlite3
+import time
 from typing import Any, NamedTuple
 
 __all__ = ['Database', 'Entry', 'Statement', 'run_statements']
@@ -66,6 +67,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.log: list[Entry] = []
+        self.applied_at: list[float] = []
         self._connection = _connect()
 
     @property
@@ -95,22 +97,27 @@
     ) -> list[dict[str, Any]]:
         """Run statements as one transaction and log it."""
         results = self._transact(statements)
-        self.log.append(Entry(term, statements))
+        self._add(Entry(term, statements))
         return results
 
     def append(self, entry: Entry) -> None:
         """Apply an entry of another server's log."""
         self._transact(entry.statements)
-        self.log.append(entry)
+        self._add(entry)
 
     def truncate(self, index: int) -> None:
         """Drop the entries behind `index` and what they did."""
         kept = self.log[:index]
         self.log = []
+        self.applied_at = []
         self._connection = _connect()
         for entry in kept:
             self.append(entry)
 
+    def _add(self, entry: Entry) -> None:
+        self.log.append(entry)
+        self.applied_at.append(time.monotonic())
+
     def copy(self) -> sqlite3.Connection:
         """Return a private copy of the data for an open transaction."""
         copied = _connect()
--- a/packages/toucandeal-standins/src/toucandeal_standins/declared.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/declared.py
@@ -8,6 +8,7 @@
     ATELIER,
     Cluster,
     Deployment,
+    class_suffixes,
     declare_group_text,
     group_names,
     running_cluster,
@@ -32,8 +33,8 @@
         A command or the schema was not accepted.
     """
     names = group_names(cluster.deployment)
-    for number, group in enumerate(names):
-        suffix = f'-{number}' if len(names) > 1 else ''
+    suffixes = class_suffixes(cluster.deployment)
+    for number, (group, suffix) in enumerate(zip(names, suffixes, strict=True)):
         commands = [
             declare_group_text(cluster, group),
             *catalogue.declarations(group, suffix),
@@ -43,8 +44,7 @@
             _expect('in_force', cluster.proxies[0].command(command))
     wait_until(lambda: _all_writable(cluster), 'primaries')
     session = SyncSession(cluster, 'conservators')
-    for number, _ in enumerate(names):
-        suffix = f'-{number}' if len(names) > 1 else ''
+    for suffix in suffixes:
         served = session.write(
             'schema',
             catalogue.schema(),
--- a/packages/toucandeal-standins/src/toucandeal_standins/demo.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/demo.py
@@ -170,7 +170,8 @@
     def start() -> None:
         day = _day(cluster, seconds, seed)
         day.addCallbacks(
-            results.append, lambda failure: failure.printTraceback()
+            results.append,
+            lambda failure: click.echo(failure.getTraceback(), err=True),
         )
         day.addBoth(lambda _: reactor.stop())
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/target.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/target.py
@@ -9,6 +9,7 @@
 ``POST /append``    log entries from the primary
 ``POST /fault``     switch faults
 ``GET /inspect``    the status, for tests
+``GET /applied``    when each log entry was applied, for measurements
 """
 
 import sqlite3
@@ -26,7 +27,7 @@
 
 
 # Paths that are not for proxies and don't count as their connections.
-_UNLIMITED = frozenset(('/append', '/fault', '/inspect'))
+_UNLIMITED = frozenset(('/append', '/applied', '/fault', '/inspect'))
 
 
 class Execute(msgspec.Struct):
@@ -294,7 +295,13 @@
     return msgspec.structs.asdict(server.faults)
 
 
+def _applied(server: TargetServer, connection, body: bytes) -> list[float]:
+    del connection, body
+    return server.database.applied_at
+
+
 _HANDLERS = {
+    ('GET', '/applied'): _applied,
     ('POST', '/fence'): _fence,
     ('POST', '/promote'): _promote,
     ('POST', '/append'): _append,
--- a/packages/toucandeal/src/toucandeal/answers.py
+++ b/packages/toucandeal/src/toucandeal/answers.py
@@ -11,7 +11,7 @@
 from toucandeal.entities import Phase, Request
 from toucandeal.evidence import want_polls
 from toucandeal.limits import slot_share
-from toucandeal.outcomes import Outcome, Refused, Unknown
+from toucandeal.outcomes import Outcome, Refused, Served, Unknown
 from toucandeal.queues import FairQueue, Waiting, add, ahead_of, remove
 from toucandeal.results import Lost
 from toucandeal.tables import Frame, Tables, decide
@@ -23,6 +23,7 @@
     'expected_wait',
     'finish',
     'lost',
+    'queue_of',
     'refuse',
     'try_again',
 ]
@@ -31,7 +32,8 @@
 RETRY_AFTER_S = 0.25  # where nothing better is known
 
 
-def _queue(tables: Tables, request: Request) -> FairQueue:
+def queue_of(tables: Tables, request: Request) -> FairQueue:
+    """Return the queue that a request waits in."""
     lanes = tables.writes if request.is_write else tables.reads
     return lanes[request.request_class.group]
 
@@ -51,7 +53,7 @@
     """Put a request into the queue of its group."""
     tables.requests[request.identity] = request._replace(phase=Phase.QUEUED)
     add(
-        _queue(tables, request),
+        queue_of(tables, request),
         _lane_caller(tables, request),
         _waiting(tables, request),
     )
@@ -61,7 +63,7 @@
 def dequeue(tables: Tables, request: Request, cost: float) -> None:
     """Take a request out; `cost` is 1 if it is sent and 0 if it is given up."""
     remove(
-        _queue(tables, request),
+        queue_of(tables, request),
         _lane_caller(tables, request),
         _waiting(tables, request),
         cost,
@@ -84,7 +86,7 @@
         for name in names
     )
     ahead = ahead_of(
-        _queue(tables, request),
+        queue_of(tables, request),
         _lane_caller(tables, request),
         _waiting(tables, request),
     )
@@ -97,12 +99,17 @@
     tables.requests.pop(request.identity, None)
     tables.confirming[request.request_class.group].discard(request.identity)
     frame.actions.append(Reply(request.identity, outcome))
+    if not isinstance(outcome, Served):
+        _log_outcome(frame, request, outcome)
+
+
+def _log_outcome(frame: Frame, request: Request, outcome: Outcome) -> None:
     decide(
         frame,
         'outcome',
         str(request.identity),
         outcome.tag,
-        getattr(outcome, 'reason', ''),
+        outcome.reason,
         request_class=request.request_class.name,
         key=request.key,
         target=request.target,
--- a/packages/toucandeal/src/toucandeal/engine.py
+++ b/packages/toucandeal/src/toucandeal/engine.py
@@ -86,16 +86,22 @@
 def run(frame: Frame) -> list[Action]:
     """Run the systems over the touched groups and return the actions."""
     tables = frame.tables
-    touched = [group for group in tables.dirty if group in tables.groups]
-    tables.dirty.clear()
-    for group in touched:
-        settle(frame, group)
+    for group in _take(tables, tables.evidence_changed):
         run_failover(frame, group)
+    for group in _take(tables, tables.dirty):
+        settle(frame, group)
         dispatch(frame, group)
         _poll(frame, group)
     return frame.actions
 
 
+def _take(tables: Tables, marked: set[str]) -> list[str]:
+    """Return the marked groups that are declared, and unmark all."""
+    taken = [group for group in marked if group in tables.groups]
+    marked.clear()
+    return taken
+
+
 def tick(frame: Frame) -> list[Action]:
     """Run the systems that depend on time, over everything."""
     tables = frame.tables
@@ -104,6 +110,7 @@
     expire(frame)
     roll_back_idle(frame)
     tables.dirty.update(tables.groups)
+    tables.evidence_changed.update(tables.groups)
     return run(frame)
 
 
--- a/packages/toucandeal/src/toucandeal/evidence.py
+++ b/packages/toucandeal/src/toucandeal/evidence.py
@@ -142,6 +142,7 @@
 
 def want_polls(tables: Tables, group: str) -> None:
     """Ask for a poll of each target of the group, ahead of its heartbeat."""
+    tables.dirty.add(group)
     for name in tables.groups[group].targets:
         tables.views[name] = tables.views[name]._replace(poll_wanted=True)
 
@@ -173,6 +174,7 @@
     )
     group = tables.targets[name].group
     tables.dirty.add(group)
+    tables.evidence_changed.add(group)
     raise_term(frame, group, status.term)
     if status.is_primary:
         learn_primary(frame, group, name, status.term, 'status')
@@ -221,4 +223,4 @@
     view = tables.views[name]
     since = frame.now if view.failing_since is None else view.failing_since
     tables.views[name] = view._replace(polling=False, failing_since=since)
-    tables.dirty.add(tables.targets[name].group)
+    tables.evidence_changed.add(tables.targets[name].group)
--- a/packages/toucandeal/src/toucandeal/failover.py
+++ b/packages/toucandeal/src/toucandeal/failover.py
@@ -289,7 +289,7 @@
     grant = Grant(target, LogPosition(status.log_term, status.index))
     takeover = takeover._replace(grants=(*takeover.grants, grant))
     _set(tables, group, takeover)
-    tables.dirty.add(group)
+    tables.evidence_changed.add(group)
     if takeover.stage is Stage.FENCING:
         _promote_if_fenced(frame, group, takeover)
 
--- a/packages/toucandeal/src/toucandeal/membership.py
+++ b/packages/toucandeal/src/toucandeal/membership.py
@@ -90,7 +90,7 @@
                 report.primary_term,
                 f'heartbeat of {peer.name}',
             )
-        tables.dirty.add(report.group)
+        tables.evidence_changed.add(report.group)
 
 
 def forget_silent_peers(frame: Frame) -> None:
--- a/packages/toucandeal/src/toucandeal/pacing.py
+++ b/packages/toucandeal/src/toucandeal/pacing.py
@@ -1,5 +1,6 @@
 """The pace of heartbeats to targets."""
 
+import functools
 from typing import NamedTuple
 
 from toucandeal.tables import Tables
@@ -8,6 +9,7 @@
 
 POLL_COST_S = 0.0004  # processor time of one status poll
 SUSPECT_HEARTBEATS = 3
+CACHED = 16  # combinations of settings and numbers of targets
 
 
 class Pace(NamedTuple):
@@ -28,8 +30,18 @@
     Pace(heartbeat_s=0.05, suspect_s=0.2)
     """
     policies = tables.policies
-    cheapest = len(tables.targets) * POLL_COST_S / policies.control_share
-    heartbeat = max(policies.heartbeat_s, cheapest)
-    return Pace(
-        heartbeat, max(policies.suspect_s, SUSPECT_HEARTBEATS * heartbeat)
+    return _pace(
+        len(tables.targets),
+        policies.heartbeat_s,
+        policies.suspect_s,
+        policies.control_share,
     )
+
+
+@functools.lru_cache(maxsize=CACHED)
+def _pace(
+    targets: int, heartbeat_s: float, suspect_s: float, control_share: float
+) -> Pace:
+    cheapest = targets * POLL_COST_S / control_share
+    heartbeat = max(heartbeat_s, cheapest)
+    return Pace(heartbeat, max(suspect_s, SUSPECT_HEARTBEATS * heartbeat))
--- a/packages/toucandeal/src/toucandeal/requests.py
+++ b/packages/toucandeal/src/toucandeal/requests.py
@@ -17,6 +17,7 @@
     expected_wait,
     finish,
     lost,
+    queue_of,
     refuse,
     try_again,
 )
@@ -51,6 +52,11 @@
     tables = frame.tables
     tables.retry_tokens = min(tables.retry_tokens + RETRY_EARNED, RETRY_RESERVE)
     tables.requests[request.identity] = request
+    if not queue_of(tables, request).waiting:
+        choice = choose_target(frame, request)
+        if isinstance(choice, Choice) and _fits(frame, request, choice):
+            _send(frame, request, choice)
+            return
     wait = expected_wait(tables, request)
     left = request.deadline_at - frame.now
     if tables.policies.admission and wait > left:
@@ -59,6 +65,11 @@
     enqueue(tables, request)
 
 
+def _fits(frame: Frame, request: Request, choice: Choice) -> bool:
+    latency = frame.tables.views[choice.target].latency_s
+    return frame.now + latency <= request.deadline_at
+
+
 def dispatch(frame: Frame, group: str) -> None:
     """Send what the group's targets have room for, in order of service."""
     tables = frame.tables
@@ -81,6 +92,7 @@
         request = tables.requests[identity]
         choice = choose_target(frame, request)
         if isinstance(choice, Choice):
+            dequeue(tables, request, 1)
             _send(frame, request, choice)
             continue
         if choice.until < math.inf:
@@ -92,7 +104,6 @@
 
 def _send(frame: Frame, request: Request, choice: Choice) -> None:
     tables = frame.tables
-    dequeue(tables, request, 1)
     view = tables.views[choice.target]
     tables.views[choice.target] = view._replace(in_flight=view.in_flight + 1)
     group_view = tables.group_views[request.request_class.group]
@@ -194,7 +205,9 @@
         latency_s=latency,
         shunned_until=frame.now + SHUN_S if busy else view.shunned_until,
     )
-    tables.dirty.add(tables.targets[target].group)
+    group = tables.targets[target].group
+    if tables.reads[group].waiting or tables.writes[group].waiting:
+        tables.dirty.add(group)
 
 
 def expire(frame: Frame) -> None:
--- a/packages/toucandeal/src/toucandeal/sessions.py
+++ b/packages/toucandeal/src/toucandeal/sessions.py
@@ -24,6 +24,7 @@
 ]
 
 SIGNATURE_BYTES = 16
+MAX_SECRET_BYTES = hashlib.blake2b.MAX_KEY_SIZE
 MAX_TOKEN_CHARS = 8192
 MAX_GROUPS = 64
 _REMEDY = (
@@ -43,8 +44,10 @@
 
 
 def _sign(payload: bytes, secret: bytes) -> bytes:
-    digest = hmac.digest(secret, payload, hashlib.sha256)
-    return digest[:SIGNATURE_BYTES]
+    # BLAKE2's keyed mode is a message authentication code by itself.
+    return hashlib.blake2b(
+        payload, digest_size=SIGNATURE_BYTES, key=secret[:MAX_SECRET_BYTES]
+    ).digest()
 
 
 def encode_token(session: Session, secret: bytes) -> str:
--- a/packages/toucandeal/src/toucandeal/tables.py
+++ b/packages/toucandeal/src/toucandeal/tables.py
@@ -81,6 +81,7 @@
         self.writes: dict[str, queues.FairQueue] = defaultdict(queues.FairQueue)
         self.confirming: dict[str, set[int]] = defaultdict(set)
         self.dirty: set[str] = set()
+        self.evidence_changed: set[str] = set()
         self.dropped: list[Target] = []
         self.draining = False
         self.configuration_version = 0
--- a/packages/toucandeald/src/toucandeald/caller_service.py
+++ b/packages/toucandeald/src/toucandeald/caller_service.py
@@ -149,7 +149,7 @@
         if not decoded.statements:
             raise BadBody('There are no statements', 'Send at least one')
         return self._submit(
-            self._session(token, decoded.caller),
+            token,
             request_class,
             caller=decoded.caller,
             key=decoded.key,
@@ -173,7 +173,7 @@
         owner = self._runtime.tables.identity.name
         identity = f'{owner}.{next(self._numbers)}.{secrets.token_hex(4)}'
         return self._submit(
-            self._session(token, decoded.caller),
+            token,
             request_class,
             caller=decoded.caller,
             key=decoded.key,
@@ -198,7 +198,7 @@
                 'the others',
             )
         return self._submit(
-            self._session(token, decoded.caller),
+            token,
             transaction.request_class,
             caller=decoded.caller,
             key=transaction.key,
@@ -226,12 +226,10 @@
             )
         return request_class
 
-    def _session(self, token: str, caller: str) -> Session:
-        return sessions.decode_token(token, caller, self._secrets)
-
     def _submit(
-        self, session: Session, request_class: RequestClass, **fields: Any
+        self, token: str, request_class: RequestClass, **fields: Any
     ) -> defer.Deferred:
+        session = sessions.decode_token(token, fields['caller'], self._secrets)
         outcome = self._runtime.submit(
             request_class=request_class,
             seen=sessions.seen_of(session, request_class.group),
@@ -240,20 +238,23 @@
         began = fields.get('operation') is Operation.BEGIN
         transaction = fields['transaction'] if began else None
         return outcome.addCallback(
-            self._reply, session, request_class.group, transaction
+            self._reply, token, session, request_class.group, transaction
         )
 
     def _reply(
         self,
         outcome: Outcome,
+        token: str,
         session: Session,
         group: str,
         transaction: str | None,
     ) -> Reply:
         seen = getattr(outcome, 'seen', None)
+        advanced = session
         if seen is not None:
-            session = sessions.advance(session, group, seen)
-        token = sessions.encode_token(session, self._secrets[0])
+            advanced = sessions.advance(session, group, seen)
+        if advanced is not session or not token:
+            token = sessions.encode_token(advanced, self._secrets[0])
         body = _OUTCOME_BODIES.get(outcome.tag, _retry_body)(outcome)
         if transaction and outcome.tag == 'served':
             body['transaction'] = None if outcome.replayed else transaction
--- a/packages/toucandeald/src/toucandeald/logs.py
+++ b/packages/toucandeald/src/toucandeald/logs.py
@@ -1,5 +1,6 @@
 """Structured logs by eliot, and metrics by statsd."""
 
+import functools
 import sys
 from pathlib import Path
 
@@ -45,9 +46,18 @@
     reactor.addSystemEventTrigger('after', 'shutdown', stream.flush)
 
 
+@functools.cache
+def _task() -> eliot.Action:
+    """Return the task that all lines of this process belong to.
+
+    A task for each line would cost as much as the line.
+    """
+    return eliot.start_task(action_type='toucandeald')
+
+
 def log_decision(decision: Decision) -> None:
     """Write a decision's line."""
-    eliot.log_message(
+    _task().log(
         f'toucandeal:{decision.kind}',
         subject=decision.subject,
         choice=decision.choice,
@@ -58,7 +68,7 @@
 
 def log_event(kind: str, **fields) -> None:
     """Write another line."""
-    eliot.log_message(f'toucandeald:{kind}', **fields)
+    _task().log(f'toucandeald:{kind}', **fields)
 
 
 class Metrics:
--- a/packages/toucandeald/src/toucandeald/main.py
+++ b/packages/toucandeald/src/toucandeald/main.py
@@ -1,5 +1,6 @@
 """The ``toucandeald`` command."""
 
+import gc
 import signal
 import sys
 
@@ -13,6 +14,7 @@
 
 BAD_SETTINGS_STATUS = 2
 DEFAULT_BODY_BYTES = 1_048_576
+GC_THRESHOLD = 20_000
 DEFAULT_STOP_TIMEOUT_S = 30.0
 _DEFAULTS = Policies()
 
@@ -105,6 +107,8 @@
         failures.append(failure)
         reactor.stop()
 
+    # Requests make no reference cycles, so the collector may run seldom.
+    gc.set_threshold(GC_THRESHOLD)
     open_log(reactor, settings.log_file)
     with running(reactor, settings) as parts:
         reactor.callWhenRunning(
--- a/packages/toucandeald/src/toucandeald/target_pool.py
+++ b/packages/toucandeald/src/toucandeald/target_pool.py
@@ -46,6 +46,14 @@
             self._idle.popleft().close()
         self._fill()
 
+    def take_idle(self) -> HttpConnection | None:
+        """Return an idle connection, or None."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+        return None
+
     def acquire(self) -> defer.Deferred:
         """Return a Deferred of an idle connection.
 
@@ -54,10 +62,9 @@
         It fails with :class:`HttpLost`, `sent` being False, if the target
         accepts no connection.
         """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.usable:
-                return defer.succeed(connection)
+        idle = self.take_idle()
+        if idle is not None:
+            return defer.succeed(idle)
         waiting = defer.Deferred()
         self._waiting.append(waiting)
         self._fill()
--- a/packages/toucandeald/src/toucandeald/targets.py
+++ b/packages/toucandeald/src/toucandeald/targets.py
@@ -3,10 +3,10 @@
 import itertools
 import time
 from http import HTTPStatus
-from typing import Any
 
 import msgspec
 from twisted.internet import defer
+from twisted.python.failure import Failure
 
 from toucandeal.entities import Operation, Request
 from toucandeal.errors import KeyReused
@@ -23,7 +23,7 @@
     results_of_keyed,
 )
 from toucandeal.results import DatabaseFailed, Lost, Ran, Result, TargetRefused
-from toucandeald.http_client import HttpConnection, HttpLost
+from toucandeald.http_client import HttpConnection, HttpLost, HttpReply
 from toucandeald.target_pool import TargetPool
 from toucandeald.target_wire import (
     ExecuteBody,
@@ -45,6 +45,7 @@
     Operation.COMMIT: 'commit',
     Operation.ROLLBACK: 'rollback',
 }
+_OPENING = frozenset((Operation.EXECUTE, Operation.BEGIN))
 _decode_execute = msgspec.json.Decoder(ExecuteReply).decode
 _decode_status = msgspec.json.Decoder(StatusReply).decode
 
@@ -115,8 +116,9 @@
         if held is not None:
             held[1].close()
 
-    @defer.inlineCallbacks
-    def execute(self, request: Request, target: str, term: int):
+    def execute(
+        self, request: Request, target: str, term: int
+    ) -> defer.Deferred:
         """Run a request at a target.
 
         Returns
@@ -124,36 +126,43 @@
         Deferred of Result
             It never fails.
         """
-        try:
-            connection = yield self._connection(request, target)
-        except HttpLost as error:
-            return TargetRefused(_refused_reason(request, error))
-        try:
-            result = yield self._run(connection, request, term)
-        except HttpLost as error:
-            result = Lost(error.reason, sent=error.sent)
-        except msgspec.DecodeError:
-            connection.close()
-            result = Lost('the answer is malformed', sent=True)
-        self._put_back(connection, request, target, result)
-        return result
+        held = self._held_connection(request)
+        if held is not None:
+            return self._run_on(held, request, target, term)
+        if request.operation not in _OPENING:
+            refused = TargetRefused('the connection was lost')
+            return defer.succeed(refused)
+        idle = self._pools[target].take_idle()
+        if idle is not None:
+            return self._run_on(idle, request, target, term)
+        acquired = self._pools[target].acquire()
+        return acquired.addCallbacks(
+            lambda connection: self._run_on(connection, request, target, term),
+            lambda _: TargetRefused('busy'),
+        )
 
-    def _connection(self, request: Request, target: str) -> defer.Deferred:
-        if request.operation in {Operation.EXECUTE, Operation.BEGIN}:
-            return self._pools[target].acquire()
+    def _held_connection(self, request: Request) -> HttpConnection | None:
         held = self._held.get(request.transaction)
-        if held is None or not held[1].usable:
-            lost = HttpLost('the connection was lost', sent=False)
-            return defer.fail(lost)
-        return defer.succeed(held[1])
+        return held[1] if held is not None and held[1].usable else None
 
-    def _put_back(
+    def _run_on(
         self,
         connection: HttpConnection,
         request: Request,
         target: str,
+        term: int,
+    ) -> defer.Deferred:
+        ran = self._run(connection, request, term)
+        ran.addErrback(_to_lost, connection)
+        return ran.addCallback(self._put_back, connection, request, target)
+
+    def _put_back(
+        self,
         result: Result,
-    ) -> None:
+        connection: HttpConnection,
+        request: Request,
+        target: str,
+    ) -> Result:
         began = (
             request.operation is Operation.BEGIN
             and isinstance(result, Ran)
@@ -165,6 +174,7 @@
         elif not continues or not isinstance(result, Ran):
             self._held.pop(request.transaction, None)
             self._pools[target].release(connection)
+        return result
 
     def _run(
         self, connection: HttpConnection, request: Request, term: int
@@ -178,10 +188,9 @@
             return self._run_keyed(connection, request, term, _keyed(request))
         return self._run_plain(connection, request, term, list(request.body))
 
-    @defer.inlineCallbacks
     def _run_plain(self, connection, request, term, statements):
-        reply = yield self._send(connection, request, term, statements)
-        return _to_result(reply)
+        sent = self._send(connection, request, term, statements)
+        return sent.addCallback(_to_result)
 
     @defer.inlineCallbacks
     def _run_keyed(self, connection, request, term, statements):
@@ -225,39 +234,48 @@
             return DatabaseFailed(str(error), result.reached)
         return Ran(recorded, result.reached, replayed=True)
 
-    @defer.inlineCallbacks
     def _send(
         self,
         connection: HttpConnection,
         request: Request,
         term: int,
         statements: list[Statement],
-        **overrides: Any,
-    ):
+        transaction: str | None = None,
+        *,
+        read_only: bool | None = None,
+    ) -> defer.Deferred:
+        """Return a Deferred of ExecuteReply."""
         request_id = f'{request.identity}.{next(self._ids)}'
         body = ExecuteBody(
             request_id,
             statements,
             term,
-            overrides.get('transaction', _TRANSACTION_WORDS[request.operation]),
-            overrides.get('read_only', not request.is_write),
+            transaction or _TRANSACTION_WORDS[request.operation],
+            (not request.is_write) if read_only is None else read_only,
         )
-        reply = yield connection.request(
+        sent = connection.request(
             'POST',
             '/execute',
             encode(body),
             request.deadline_at - self._now(),
         )
-        if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            return _refusal(request_id)
-        if reply.status != HTTPStatus.OK:
-            connection.close()
-            raise HttpLost('the target answered with an error', sent=True)
-        decoded = _decode_execute(reply.body)
-        if decoded.request_id != request_id:
-            connection.close()
-            raise HttpLost('the answer belongs to another request', sent=True)
-        return decoded
+        return sent.addCallback(_check_reply, connection, request_id)
+
+
+def _check_reply(
+    reply: HttpReply, connection: HttpConnection, request_id: str
+) -> ExecuteReply:
+    """Return the decoded answer if it belongs to the request."""
+    if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return _refusal(request_id)
+    if reply.status != HTTPStatus.OK:
+        connection.close()
+        raise HttpLost('the target answered with an error', sent=True)
+    decoded = _decode_execute(reply.body)
+    if decoded.request_id != request_id:
+        connection.close()
+        raise HttpLost('the answer belongs to another request', sent=True)
+    return decoded
 
 
 def _refusal(request_id: str) -> ExecuteReply:
@@ -308,5 +326,9 @@
     return TargetRefused(reply.reason, reply.term)
 
 
-def _refused_reason(request: Request, error: HttpLost) -> str:
-    return error.reason if request.transaction else 'busy'
+def _to_lost(failure: Failure, connection: HttpConnection) -> Lost:
+    if failure.check(HttpLost):
+        return Lost(failure.value.reason, sent=failure.value.sent)
+    failure.trap(msgspec.DecodeError)
+    connection.close()
+    return Lost('the answer is malformed', sent=True)
--- a/packages/toucandeald/src/toucandeald/web.py
+++ b/packages/toucandeald/src/toucandeald/web.py
@@ -26,6 +26,13 @@
         self.closing = False
 
 
+class QuietSite(server.Site):
+    """A site without an access log; the decisions are logged instead."""
+
+    def log(self, request) -> None:
+        """Write nothing."""
+
+
 class CallerResource(resource.Resource):
     """Passes each request to a handler and writes its reply."""
 
@@ -103,7 +110,7 @@
         The address can't be used.
     """
     host, port = host_port(address)
-    site = server.Site(root)
+    site = QuietSite(root)
     site.displayTracebacks = False
     endpoint = endpoints.TCP4ServerEndpoint(
         reactor, port, backlog=1024, interface=host
