--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/__main__.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/__main__.py
@@ -9,6 +9,11 @@
 from twisted.internet import defer, reactor
 
 from toucandeal_standins.bench.configuration import measure_configuration
+from toucandeal_standins.bench.control import (
+    measure_idle,
+    measure_tables,
+    slopes,
+)
 from toucandeal_standins.bench.failover import CASES, measure_failover
 from toucandeal_standins.bench.outcomes import (
     measure_fairness,
@@ -60,6 +65,8 @@
     'primary_only': ('--replica-reads=primary_only',),
     'round_robin': ('--replica-reads=round_robin', '--fixed-lag-s=1'),
 }
+IDLE_POINTS = ((3, 4), (30, 4), (300, 4), (3, 8), (3, 16))
+TABLES = (27_000, 3_500)
 FIRST_COME = ('--no-fair-queue', '--no-admission')
 
 
@@ -139,12 +146,29 @@
         yield measure_configuration(deployment, size.trials, seed, cut=True)
 
 
+def _control(size: Size, seed: int) -> Iterator:
+    yield measure_tables(*TABLES, seed)
+    points = IDLE_POINTS if size.baselines else IDLE_POINTS[:1]
+    measures: list[Measure] = []
+    for groups, proxies in points:
+        started = measure_idle(groups, proxies, size.seconds, seed)
+        yield started.addCallback(_keep, measures)
+    if len(measures) > 1:
+        yield slopes(measures, seed)
+
+
+def _keep(measure: Measure, measures: list[Measure]) -> Measure:
+    measures.append(measure)
+    return measure
+
+
 MEASURES = {
     'failover': _failover,
     'reads': _reads,
     'outcomes': _outcomes,
     'throughput': _throughput,
     'configuration': _configuration,
+    'control': _control,
 }
 
 
--- /dev/null
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/control.py
@@ -0,0 +1,238 @@
+"""What an idle proxy spends on control, and what its tables cost at size."""
+
+import random
+import socket
+import time
+import tracemalloc
+
+from twisted.internet import defer
+
+from toucandeal import engine
+from toucandeal.configuration import Configuration, Row
+from toucandeal.entities import Peer
+from toucandeal.membership import peer_heard
+from toucandeal.policies import Policies
+from toucandeal.tables import Self, Tables
+from toucandeal_standins.bench.load import sleep
+from toucandeal_standins.bench.processes import usage
+from toucandeal_standins.bench.report import Measure, Series
+from toucandeal_standins.cluster import (
+    ATELIER,
+    Cluster,
+    Process,
+    post,
+    running_cluster,
+    wait_until,
+)
+from toucandeal_standins.idle_targets import SERVERS
+
+__all__ = ['measure_idle', 'measure_tables', 'slopes']
+
+SETTLE_S = 4.0
+FIRST_PORT = 20_000
+GAUGE = 'toucandeal.control_bytes_per_s:'
+DEADLINE_S = 60.0
+
+
+class Gauges:
+    """Receives statsd datagrams and keeps the control bytes."""
+
+    def __init__(self) -> None:
+        """Listen on a free port."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(('127.0.0.1', 0))
+        self._socket.setblocking(False)
+        self.address = f'127.0.0.1:{self._socket.getsockname()[1]}'
+
+    def readings(self) -> list[float]:
+        """Return the readings of the control bytes that have come in."""
+        found = []
+        while True:
+            try:
+                datagram = self._socket.recv(4096).decode()
+            except BlockingIOError:
+                return found
+            if datagram.startswith(GAUGE):
+                found.append(float(datagram[len(GAUGE) :].split('|')[0]))
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+
+def _declare_idle_groups(cluster: Cluster, groups: int) -> None:
+    for number in range(groups):
+        targets = ' '.join(
+            f'target t{number}-{server} '
+            f'at 127.0.0.1:{FIRST_PORT + number * SERVERS + server} '
+            f'in d{server} slots 2 connections 64'
+            for server in range(SERVERS)
+        )
+        answer = cluster.proxies[0].command(
+            f'declare group g{number} {targets}'
+        )
+        if 'version' not in answer:
+            raise RuntimeError(f'not accepted: {answer}')
+
+
+def _all_known(cluster: Cluster, groups: int) -> bool:
+    return all(
+        len(proxy.command('show groups where writable = true')['rows'])
+        == groups
+        for proxy in cluster.proxies
+    )
+
+
+@defer.inlineCallbacks
+def measure_idle(groups: int, proxies: int, seconds: float, seed: int):
+    """Return the measure of idle proxies before idle groups."""
+    deployment = ATELIER._replace(
+        name='idle', groups=0, servers=0, proxies=proxies
+    )
+    gauges = Gauges()
+    idle = Process(
+        'toucandeal_standins.idle_targets',
+        f'--groups={groups}',
+        f'--first-port={FIRST_PORT}',
+    )
+    last = f'127.0.0.1:{FIRST_PORT + groups * SERVERS - 1}'
+    wait_until(lambda: post(last, '/status', method='GET'), 'idle targets')
+    flags = (f'--statsd={gauges.address}', '--log-file=/dev/null')
+    try:
+        with running_cluster(deployment, flags) as cluster:
+            _declare_idle_groups(cluster, groups)
+            wait_until(
+                lambda: _all_known(cluster, groups),
+                'the groups',
+                timeout_s=DEADLINE_S,
+            )
+            yield sleep(SETTLE_S)
+            pids = [proxy.process.popen.pid for proxy in cluster.proxies]
+            before = [usage(pid) for pid in pids]
+            gauges.readings()
+            yield sleep(seconds)
+            after = [usage(pid) for pid in pids]
+            readings = gauges.readings()
+    finally:
+        idle.kill()
+        gauges.close()
+    spent = sum(
+        later.cpu_s - earlier.cpu_s
+        for earlier, later in zip(before, after, strict=True)
+    )
+    return Measure(
+        'control',
+        f'idle-{groups}-groups-{proxies}-proxies',
+        {
+            'cpu_share_of_core': round(spent / seconds / proxies, 4),
+            'resident_mb': round(
+                sum(entry.resident_bytes for entry in after) / proxies / 1e6, 1
+            ),
+            'bytes_per_s': round(sum(readings) / max(len(readings), 1)),
+        },
+        proxies,
+        seed,
+    )
+
+
+def _rows(groups: int) -> list[Row]:
+    return [
+        Row(
+            f'group/g{number}',
+            number + 1,
+            {
+                'targets': [
+                    {
+                        'name': f't{number}-{server}',
+                        'address': f'10.0.{server}.1:{1024 + number}',
+                        'failure_domain': f'd{server}',
+                        'slots': 2,
+                        'connections': 64,
+                    }
+                    for server in range(SERVERS)
+                ]
+            },
+        )
+        for number in range(groups)
+    ]
+
+
+def measure_tables(groups: int, peers: int, seed: int) -> Measure:
+    """Return the measure of the tables alone, without any network."""
+    generator = random.Random(seed)
+    tables = Tables(Self('p0', 1), Policies())
+    rows = _rows(groups)
+    tracemalloc.start()
+    frame = engine.begin_frame(tables, 1.0, generator)
+    engine.configuration_learned(frame, Configuration(0, {}), groups, rows)
+    group_bytes = tracemalloc.get_traced_memory()[0]
+    live = tuple(f'p{number}' for number in range(8))
+    for number in range(peers):
+        peer = Peer(f'p{number + 1}', 1, '', '', 'd', False, live, groups, 1.0)
+        peer_heard(frame, peer, [])
+    peer_bytes = tracemalloc.get_traced_memory()[0] - group_bytes
+    tracemalloc.stop()
+    ticks = [
+        _timed_tick(tables, 1.0 + number / 100, generator)
+        for number in range(3)
+    ]
+    return Measure(
+        'tables',
+        f'{groups}-groups-{peers}-peers',
+        {
+            'tick_ms': round(min(ticks) * 1000, 2),
+            'bytes_per_group': round(group_bytes / groups),
+            'bytes_per_peer': round(peer_bytes / max(peers, 1)),
+        },
+        len(ticks),
+        seed,
+    )
+
+
+def _timed_tick(tables: Tables, now: float, generator) -> float:
+    frame = engine.begin_frame(tables, now, generator)
+    began = time.perf_counter()
+    engine.tick(frame)
+    return time.perf_counter() - began
+
+
+def slopes(measures: list[Measure], seed: int) -> Measure:
+    """Return what one more group and one more proxy cost an idle proxy."""
+    figures = {}
+    points = {}
+    for measure in measures:
+        _, groups, _, proxies, _ = measure.deployment.split('-')
+        points[int(groups), int(proxies)] = measure.figures
+    by_groups = sorted(point for point in points if point[1] == 4)
+    by_proxies = sorted(point for point in points if point[0] == 3)
+    for label, chosen, axis in (
+        ('group', by_groups, 0),
+        ('proxy', by_proxies, 1),
+    ):
+        low, high = chosen[0], chosen[-1]
+        steps = high[axis] - low[axis]
+        for name in ('cpu_share_of_core', 'resident_mb', 'bytes_per_s'):
+            slope = (points[high][name] - points[low][name]) / steps
+            figures[f'{name}_per_{label}'] = round(slope, 6)
+    series = tuple(
+        Series(
+            f'by {label}',
+            [
+                (point[axis], points[point]['cpu_share_of_core'])
+                for point in chosen
+            ],
+        )
+        for label, chosen, axis in (
+            ('groups', by_groups, 0),
+            ('proxies', by_proxies, 1),
+        )
+    )
+    return Measure(
+        'control_slopes',
+        'idle',
+        figures,
+        len(measures),
+        seed,
+        series,
+        ('groups or proxies', 'share of a core'),
+    )
--- a/packages/toucandeal-standins/src/toucandeal_standins/callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/callers.py
@@ -57,6 +57,7 @@
         """Take the proxies' addresses for callers."""
         self.addresses = addresses
         self.cut = 0
+        self.give_up_s = GIVE_UP_S
         self._idle: dict[str, deque[HttpConnection]] = defaultdict(deque)
         self._next_proxy = itertools.count()
 
@@ -104,14 +105,19 @@
         body: Any,
         *,
         proxy: int | None = None,
-        give_up_s: float = GIVE_UP_S,
+        give_up_s: float | None = None,
     ):
         """Repeat a request until it is served; return the answer."""
+        if give_up_s is None:
+            give_up_s = self.give_up_s
         started = reactor.seconds()
         attempts: list[Attempt] = []
         while True:
             number = next(self._next_proxy) if proxy is None else proxy
             proxy = None
+            if attempts and 'class' in body:
+                waited_s = reactor.seconds() - started
+                body = {**body, 'waited_ms': waited_s * 1000}
             last = yield self.attempt(session, path, body, number)
             attempts.append(last)
             elapsed = reactor.seconds() - started
--- a/packages/toucandeal/src/toucandeal/answers.py
+++ b/packages/toucandeal/src/toucandeal/answers.py
@@ -8,6 +8,7 @@
 """
 
 from toucandeal.actions import Reply
+from toucandeal.backoff import count_refused, count_served, retry_delay
 from toucandeal.entities import Phase, Request
 from toucandeal.evidence import want_polls
 from toucandeal.limits import slot_share
@@ -41,6 +42,9 @@
 def _waiting(tables: Tables, request: Request) -> Waiting:
     if tables.policies.fair_queue:
         weight = request.request_class.late_weight
+        if request.is_late:
+            # Its cost has been incurred; others can still be in time.
+            weight = 0
         return Waiting(-weight, request.deadline_at, request.identity)
     return Waiting(0, 0, request.identity)
 
@@ -70,15 +74,23 @@
     )
 
 
+def _serving(
+    tables: Tables, group: str, primary: str, *, is_write: bool
+) -> list[str]:
+    """Return the targets that the queue's requests mostly go to."""
+    names = tables.groups[group].targets
+    if not primary:
+        return list(names)
+    if is_write:
+        return [primary]
+    return [name for name in names if name != primary] or [primary]
+
+
 def expected_wait(tables: Tables, request: Request) -> float:
     """Return the expected time until the request is answered, in seconds."""
     group = request.request_class.group
     view = tables.group_views[group]
-    names = (
-        (view.primary,)
-        if request.is_write and view.primary
-        else tables.groups[group].targets
-    )
+    names = _serving(tables, group, view.primary, is_write=request.is_write)
     proxies = max(tables.proxies_counted, 1)
     rate = sum(
         slot_share(tables.targets[name].slots, proxies)
@@ -90,7 +102,8 @@
         _lane_caller(tables, request),
         _waiting(tables, request),
     )
-    return (ahead + 1) / rate
+    service = min(tables.views[name].latency_s for name in names)
+    return ahead / rate + service
 
 
 def finish(frame: Frame, request: Request, outcome: Outcome) -> None:
@@ -99,7 +112,10 @@
     tables.requests.pop(request.identity, None)
     tables.confirming[request.request_class.group].discard(request.identity)
     frame.actions.append(Reply(request.identity, outcome))
-    if not isinstance(outcome, Served):
+    if isinstance(outcome, Served):
+        group = request.request_class.group
+        tables.backoffs[group] = count_served(tables.backoffs[group])
+    else:
         _log_outcome(frame, request, outcome)
 
 
@@ -122,7 +138,10 @@
     frame: Frame, request: Request, reason: str, retry_after: float = 0
 ) -> None:
     """Give up a request: "not run" where that is certain, else "unknown"."""
-    wait = max(retry_after, RETRY_AFTER_S)
+    backoffs = frame.tables.backoffs
+    group = request.request_class.group
+    backoffs[group] = count_refused(backoffs[group])
+    wait = max(retry_after, retry_delay(backoffs[group], frame.random))
     if request.may_have_run:
         finish(frame, request, Unknown(reason, wait))
     else:
--- a/packages/toucandeal/src/toucandeal/engine.py
+++ b/packages/toucandeal/src/toucandeal/engine.py
@@ -10,6 +10,7 @@
 import random
 
 from toucandeal.actions import Action, Poll, WakeAt
+from toucandeal.backoff import adapt
 from toucandeal.configuration import Configuration, Row, apply_rows, merge
 from toucandeal.confirming import settle
 from toucandeal.entities import (
@@ -109,6 +110,8 @@
     share_connections(frame)
     expire(frame)
     roll_back_idle(frame)
+    for group, backoff in tables.backoffs.items():
+        tables.backoffs[group] = adapt(backoff, frame.now)
     tables.dirty.update(tables.groups)
     tables.evidence_changed.update(tables.groups)
     return run(frame)
@@ -169,6 +172,7 @@
     body: object,
     seen: LogPosition,
     deadline_s: float | None = None,
+    waited_s: float = 0,
     operation: Operation = Operation.EXECUTE,
     transaction: str | None = None,
 ) -> Request:
@@ -189,6 +193,7 @@
         frame.now + allowed,
         operation,
         transaction,
+        is_late=waited_s >= request_class.deadline_s,
     )
 
 
--- a/packages/toucandeal/src/toucandeal/entities.py
+++ b/packages/toucandeal/src/toucandeal/entities.py
@@ -103,6 +103,7 @@
     in_flight: int = 0
     pinned: int = 0
     latency_s: float = FIRST_LATENCY_S
+    latency_spread_s: float = 0.0
     shunned_until: float = -math.inf
     connection_share: int = 0
 
@@ -166,6 +167,7 @@
 class Request(NamedTuple):
     """A request in the proxy, from arrival to its one outcome.
 
+    `is_late` is set for a repeat whose first try is past the deadline.
     `may_have_run` is set once an attempt has left without a clear answer; a
     request with it set is never refused as not run.
     """
@@ -189,6 +191,7 @@
     answer: Any = None
     reached: LogPosition = NOTHING_SEEN
     replayed: bool = False
+    is_late: bool = False
 
     @property
     def is_write(self) -> bool:
--- a/packages/toucandeal/src/toucandeal/requests.py
+++ b/packages/toucandeal/src/toucandeal/requests.py
@@ -22,7 +22,7 @@
     try_again,
 )
 from toucandeal.confirming import confirm
-from toucandeal.entities import Operation, Phase, Request
+from toucandeal.entities import Operation, Phase, Request, TargetView
 from toucandeal.evidence import raise_term, want_polls
 from toucandeal.limits import free_slots
 from toucandeal.outcomes import Failed, Unknown
@@ -34,9 +34,12 @@
 __all__ = ['admit', 'dispatch', 'execution_answered', 'expire']
 
 
+SPREADS_LEFT = 2  # of the latency, that a request sent must have time for
 LATENCY_WEIGHT = 0.1  # of the newest sample in the moving average
 RETRY_EARNED = 0.1  # retries earned by each request
 RETRY_RESERVE = 50.0  # retries that may be saved up
+PROBE_LEFT_S = 0.02
+ADMITTED_SHARE = 0.5  # of the time left that the queue may take
 WALK_LIMIT = 64  # queued requests looked at in one run
 SHUN_S = 0.03  # after a target refused for want of connections
 
@@ -59,15 +62,19 @@
             return
     wait = expected_wait(tables, request)
     left = request.deadline_at - frame.now
-    if tables.policies.admission and wait > left:
+    if tables.policies.admission and wait > left * ADMITTED_SHARE:
         refuse(frame, request, 'the queue is longer than the deadline', wait)
         return
     enqueue(tables, request)
 
 
 def _fits(frame: Frame, request: Request, choice: Choice) -> bool:
-    latency = frame.tables.views[choice.target].latency_s
-    return frame.now + latency <= request.deadline_at
+    view = frame.tables.views[choice.target]
+    left = request.deadline_at - frame.now
+    if view.in_flight == 0:
+        # Something has to be sent, or an old latency would never be corrected.
+        return left >= PROBE_LEFT_S
+    return left >= view.latency_s + SPREADS_LEFT * view.latency_spread_s
 
 
 def dispatch(frame: Frame, group: str) -> None:
@@ -92,8 +99,7 @@
         request = tables.requests[identity]
         choice = choose_target(frame, request)
         if isinstance(choice, Choice):
-            dequeue(tables, request, 1)
-            _send(frame, request, choice)
+            _send_or_refuse(frame, request, choice)
             continue
         if choice.until < math.inf:
             frame.actions.append(WakeAt(choice.until))
@@ -102,6 +108,16 @@
             return
 
 
+def _send_or_refuse(frame: Frame, request: Request, choice: Choice) -> None:
+    fits = _fits(frame, request, choice)
+    if fits or not frame.tables.policies.admission:
+        dequeue(frame.tables, request, 1)
+        _send(frame, request, choice)
+    else:
+        dequeue(frame.tables, request, 0)
+        refuse(frame, request, 'too little time is left')
+
+
 def _send(frame: Frame, request: Request, choice: Choice) -> None:
     tables = frame.tables
     view = tables.views[choice.target]
@@ -147,7 +163,11 @@
 
 
 def execution_answered(
-    frame: Frame, identity: int, target: str, result: Result
+    frame: Frame,
+    identity: int,
+    target: str,
+    result: Result,
+    sent_at: float,
 ) -> None:
     """Take in what became of an execution.
 
@@ -158,10 +178,12 @@
         The request; one that was answered meanwhile is ignored.
     target : str
     result : Ran, TargetRefused, DatabaseFailed or Lost
+    sent_at : float
+        When the execution was sent.
     """
     tables = frame.tables
     request = tables.requests.get(identity)
-    _release(frame, target, request, result)
+    _release(frame, target, result, sent_at)
     if request is None or request.phase is not Phase.SENT:
         return
     if request.operation is Operation.EXECUTE:
@@ -188,21 +210,17 @@
         lost(frame, request, result)
 
 
-def _release(
-    frame: Frame, target: str, request: Request | None, result: Result
-) -> None:
+def _release(frame: Frame, target: str, result: Result, sent_at: float) -> None:
     tables = frame.tables
     view = tables.views.get(target)
     if view is None:
         return
-    latency = view.latency_s
-    if request is not None and isinstance(result, Ran):
-        taken = frame.now - request.sent_at
-        latency += LATENCY_WEIGHT * (taken - latency)
+    # Lost answers count too: leaving them out would hide an overload.
+    if not isinstance(result, TargetRefused):
+        view = _with_latency(view, frame.now - sent_at)
     busy = isinstance(result, TargetRefused) and result.reason == 'busy'
     tables.views[target] = view._replace(
         in_flight=max(view.in_flight - 1, 0),
-        latency_s=latency,
         shunned_until=frame.now + SHUN_S if busy else view.shunned_until,
     )
     group = tables.targets[target].group
@@ -210,6 +228,16 @@
         tables.dirty.add(group)
 
 
+def _with_latency(view: TargetView, taken_s: float) -> TargetView:
+    """Return the view with one more latency in its moving averages."""
+    error = taken_s - view.latency_s
+    spread = abs(error) - view.latency_spread_s
+    return view._replace(
+        latency_s=view.latency_s + LATENCY_WEIGHT * error,
+        latency_spread_s=view.latency_spread_s + LATENCY_WEIGHT * spread,
+    )
+
+
 def expire(frame: Frame) -> None:
     """Give up the requests that can no longer meet their deadline."""
     tables = frame.tables
--- a/packages/toucandeal/src/toucandeal/tables.py
+++ b/packages/toucandeal/src/toucandeal/tables.py
@@ -7,6 +7,7 @@
 
 from toucandeal import queues
 from toucandeal.actions import Action, Decision
+from toucandeal.backoff import Backoff
 from toucandeal.entities import (
     Caller,
     Group,
@@ -91,6 +92,7 @@
         self.ticked_at: float = -math.inf
         self.next_identity = 0
         self.retry_tokens: float = 0.0
+        self.backoffs: dict[str, Backoff] = defaultdict(Backoff)
 
     def group_targets(self, group: str) -> list[Target]:
         """Return the targets of a group, in declared order."""
--- a/packages/toucandeald/src/toucandeald/app.py
+++ b/packages/toucandeald/src/toucandeald/app.py
@@ -93,9 +93,14 @@
     state = LifecycleState(shutdown.begin, reactor.stop)
     lifecycle = new_lifecycle(state)
     shutdown.lifecycle = lifecycle
-    maintenance = Maintenance(reactor, runtime, metrics, monotonic)
     peers = PeerSockets(reactor, settings.listen_peers, membership.received)
     membership.sockets = peers
+    maintenance = Maintenance(
+        reactor,
+        runtime,
+        metrics,
+        lambda: targets.control_bytes + peers.bytes_sent + peers.bytes_received,
+    )
     try:
         yield Parts(
             runtime,
--- a/packages/toucandeald/src/toucandeald/caller_service.py
+++ b/packages/toucandeald/src/toucandeald/caller_service.py
@@ -66,6 +66,7 @@
     statements: list[StatementBody] = []
     key: Annotated[str, msgspec.Meta(min_length=1)] | None = None
     deadline_ms: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    waited_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
 
 
 class OperationBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -153,6 +154,7 @@
             request_class,
             caller=decoded.caller,
             key=decoded.key,
+            waited_s=decoded.waited_ms / 1000,
             body=_statements_of(decoded.statements),
             deadline_s=_seconds(decoded.deadline_ms),
         )
@@ -177,6 +179,7 @@
             request_class,
             caller=decoded.caller,
             key=decoded.key,
+            waited_s=decoded.waited_ms / 1000,
             body=(),
             deadline_s=_seconds(decoded.deadline_ms),
             operation=Operation.BEGIN,
--- a/packages/toucandeald/src/toucandeald/maintenance.py
+++ b/packages/toucandeald/src/toucandeald/maintenance.py
@@ -28,13 +28,17 @@
         reactor,
         runtime: Runtime,
         metrics: Metrics,
-        now: Callable[[], float],
+        control_bytes: Callable[[], int],
     ) -> None:
-        """Take the parts that the composition root made."""
+        """Take the parts that the composition root made.
+
+        `control_bytes` returns the control traffic so far, in bytes.
+        """
         self._reactor = reactor
         self._runtime = runtime
         self._metrics = metrics
-        self._now = now
+        self._control_bytes = control_bytes
+        self._counted_bytes = 0
 
     def begin(self) -> None:
         """Begin the repeated work."""
@@ -76,5 +80,10 @@
                 not writable(view) for view in tables.group_views.values()
             ),
         }
+        total = self._control_bytes()
+        gauges['control_bytes_per_s'] = round(
+            (total - self._counted_bytes) / GAUGE_PERIOD_S
+        )
+        self._counted_bytes = total
         for name, reading in gauges.items():
             self._metrics.gauge(name, reading)
--- a/packages/toucandeald/src/toucandeald/runtime.py
+++ b/packages/toucandeald/src/toucandeald/runtime.py
@@ -107,11 +107,15 @@
         if request is None:
             return
         answer = self._targets.execute(request, action.target, action.term)
-        answer.addCallback(self._executed, request, action.target)
+        answer.addCallback(self._executed, request, action.target, self._now())
         answer.addErrback(_report)
 
-    def _executed(self, result, request: Request, target: str) -> None:
-        self.enter(execution_answered, request.identity, target, result)
+    def _executed(
+        self, result, request: Request, target: str, sent_at: float
+    ) -> None:
+        self.enter(
+            execution_answered, request.identity, target, result, sent_at
+        )
         began = request.operation is Operation.BEGIN
         if began and request.transaction not in self.tables.transactions:
             # The begin was given up while its answer was on its way.
--- a/packages/toucandeald/src/toucandeald/target_pool.py
+++ b/packages/toucandeald/src/toucandeald/target_pool.py
@@ -12,6 +12,7 @@
 CONNECT_TIMEOUT_S = 0.5
 CHECK_TIMEOUT_S = 0.5
 RECONNECT_S = 0.05
+HEAD_BYTES = 100  # of a request's and its answer's HTTP heads
 
 
 class TargetPool:
@@ -33,6 +34,7 @@
         self._control: HttpConnection | None = None
         self._control_lock = defer.DeferredLock()
         self._retry = None
+        self.control_bytes = 0
 
     @property
     def open_connections(self) -> int:
@@ -93,6 +95,7 @@
             reply = yield self._control.request(method, path, body, timeout_s)
         finally:
             self._control_lock.release()
+        self.control_bytes += len(body) + len(reply.body) + HEAD_BYTES
         if reply.status != HTTPStatus.OK:
             raise HttpLost('the target refused', sent=True)
         return reply
--- a/packages/toucandeald/src/toucandeald/targets.py
+++ b/packages/toucandeald/src/toucandeald/targets.py
@@ -45,6 +45,10 @@
     Operation.COMMIT: 'commit',
     Operation.ROLLBACK: 'rollback',
 }
+# A request is answered at its deadline. Its connection waits this much longer,
+# because the target is still at work on it: were it closed and replaced, the
+# target would be sent more than it has slots for.
+OVERDUE_GRACE_S = 1.0
 _OPENING = frozenset((Operation.EXECUTE, Operation.BEGIN))
 _decode_execute = msgspec.json.Decoder(ExecuteReply).decode
 _decode_status = msgspec.json.Decoder(StatusReply).decode
@@ -66,6 +70,11 @@
         self._held: dict[str, tuple[str, HttpConnection]] = {}
         self._ids = itertools.count(1)
 
+    @property
+    def control_bytes(self) -> int:
+        """Return the bytes of status polls, fences and promotions so far."""
+        return sum(pool.control_bytes for pool in self._pools.values())
+
     def resize(self, target: str, address: str, size: int) -> None:
         """Hold `size` data connections to a target."""
         address = self._routes.get(target, address)
@@ -257,7 +266,7 @@
             'POST',
             '/execute',
             encode(body),
-            request.deadline_at - self._now(),
+            request.deadline_at - self._now() + OVERDUE_GRACE_S,
         )
         return sent.addCallback(_check_reply, connection, request_id)
 
