Host groups on few proxies; mend seven faults found by reading

Cause, found by reading the whole path as a newcomer: 1. A request that another proxy held hung for 60 s when that proxy died. 2. A session with 64 groups was refused after its write had run. 3. "Refused" was given for reads that had been sent, so "not run" was untrue. 4. A primary left out of a new declaration stayed in use by name. 5. An accepted change was reported as failed if the store went down right after it. 6. An exception while taking in a peer's message removed the reader from the reactor, and the proxy heard no peer any more. Two proxies with one name ignored each other without a word.

Change: each mended; a group is hosted by as many proxies as its scarcest target's connections allow (four each), by rendezvous hashing, and others pass requests on, once.

--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_callers.py
@@ -1,6 +1,7 @@
 """The callers' interface: each bad input gets an error with its remedy."""
 
 import base64
+import signal
 
 import msgspec
 import pytest
@@ -183,6 +184,22 @@
     assert sessions[1].bookings('mix-0', proxy=0) == 0
 
 
+def test_commit_through_a_proxy_that_dies_is_unknown_then_resolved():
+    with declared_cluster() as cluster:
+        session = SyncSession(cluster, 'conservators')
+        transaction = Transaction(session, 'dies', proxy=0)
+        insert = "INSERT INTO booking VALUES ('dies', 1)"
+        assert transaction.run(insert, proxy=1).outcome == 'served'
+        cluster.proxies[0].process.signal(signal.SIGSTOP)
+        assert transaction.end('commit', proxy=1).outcome == 'unknown'
+        cluster.proxies[0].process.kill()
+        again = Transaction(session, 'dies', proxy=1)
+        if again.identity:
+            again.run(insert, proxy=2)
+            assert again.end('commit', proxy=2).outcome == 'served'
+        assert session.bookings('dies', proxy=3) == 1
+
+
 def test_reused_key_is_told_from_a_repeat(shared):
     session = SyncSession(shared, 'conservators')
     session.book('same', proxy=0)
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from toucandeal_standins.cluster import free_port, post, wait_until
+from toucandeal_standins.cluster import (
+    ATELIER,
+    free_port,
+    post,
+    wait_until,
+)
 from toucandeal_standins.declared import declared_cluster
 from toucandeal_standins.requests import SyncSession, in_background
 
@@ -220,6 +225,20 @@
         wait_until(lambda: _freshness(proxy) == 11, 'the configuration')
 
 
+def test_few_connections_are_held_by_few_proxies_and_all_serve():
+    with declared_cluster(ATELIER._replace(connections=8)) as cluster:
+        session = SyncSession(cluster, 'conservators')
+        for number in range(8):
+            reply = session.book(f'few-{number}', proxy=number % 4)
+            assert reply.outcome == 'served'
+            assert session.bookings(f'few-{number}', proxy=3 - number % 4) == 1
+        holding = [
+            proxy.command('show targets where connections > 0')['rows']
+            for proxy in cluster.proxies
+        ]
+        assert sorted(len(rows) for rows in holding) == [0, 0, 3, 3]
+
+
 def test_readiness_and_liveness(shared):
     address = shared.proxies[0].operators
     assert post(address, '/live', method='GET')[0] == 200
--- a/packages/toucandeal/src/toucandeal/answers.py
+++ b/packages/toucandeal/src/toucandeal/answers.py
@@ -11,7 +11,7 @@
 from toucandeal.backoff import count_refused, count_served, retry_delay
 from toucandeal.entities import Phase, Request
 from toucandeal.evidence import want_polls
-from toucandeal.limits import slot_share
+from toucandeal.limits import proxies_sharing, slot_share
 from toucandeal.outcomes import Outcome, Refused, Served, Unknown
 from toucandeal.queues import FairQueue, Waiting, add, ahead_of, remove
 from toucandeal.results import Lost
@@ -91,7 +91,7 @@
     group = request.request_class.group
     view = tables.group_views[group]
     names = _serving(tables, group, view.primary, is_write=request.is_write)
-    proxies = max(tables.proxies_counted, 1)
+    proxies = proxies_sharing(tables, group)
     rate = sum(
         slot_share(tables.targets[name].slots, proxies)
         / tables.views[name].latency_s
@@ -163,8 +163,7 @@
     if not result.sent:
         try_again(frame, request, result.reason)
         return
-    if request.is_write:
-        request = request._replace(may_have_run=True)
+    request = request._replace(may_have_run=True)
     repeatable = (
         not request.is_write
         or request.key is not None
--- a/packages/toucandeal/src/toucandeal/configuration.py
+++ b/packages/toucandeal/src/toucandeal/configuration.py
@@ -200,7 +200,11 @@
     tables.groups[name] = Group(
         name, tuple(document['name'] for document in documents)
     )
-    tables.group_views.setdefault(name, GroupView(history=[]))
+    view = tables.group_views.get(name, GroupView(history=[]))
+    if view.primary not in declared:
+        # The term stays: whatever becomes primary next needs a higher one.
+        view = view._replace(primary='', primary_term=0, takeover=None)
+    tables.group_views[name] = view
     tables.dirty.add(name)
 
 
--- a/packages/toucandeal/src/toucandeal/confirming.py
+++ b/packages/toucandeal/src/toucandeal/confirming.py
@@ -32,7 +32,7 @@
         answer=result.answer,
         reached=result.reached,
         replayed=result.replayed,
-        may_have_run=request.is_write,
+        may_have_run=True,
     )
     group = request.request_class.group
     tables.requests[request.identity] = request
--- a/packages/toucandeal/src/toucandeal/engine.py
+++ b/packages/toucandeal/src/toucandeal/engine.py
@@ -23,7 +23,7 @@
 from toucandeal.evidence import want_polls
 from toucandeal.failover import run_failover
 from toucandeal.limits import share_connections
-from toucandeal.membership import forget_silent_peers
+from toucandeal.membership import forget_silent_peers, is_host
 from toucandeal.pacing import pace
 from toucandeal.positions import LogPosition
 from toucandeal.requests import admit, dispatch, expire
@@ -88,11 +88,13 @@
     """Run the systems over the touched groups and return the actions."""
     tables = frame.tables
     for group in _take(tables, tables.evidence_changed):
-        run_failover(frame, group)
+        if is_host(tables, group):
+            run_failover(frame, group)
     for group in _take(tables, tables.dirty):
         settle(frame, group)
         dispatch(frame, group)
-        _poll(frame, group)
+        if is_host(tables, group):
+            _poll(frame, group)
     return frame.actions
 
 
@@ -108,6 +110,11 @@
     tables = frame.tables
     forget_silent_peers(frame)
     share_connections(frame)
+    tables.polled_targets = sum(
+        len(group.targets)
+        for group in tables.groups.values()
+        if is_host(tables, group.name)
+    )
     expire(frame)
     roll_back_idle(frame)
     for group, backoff in tables.backoffs.items():
--- a/packages/toucandeal/src/toucandeal/limits.py
+++ b/packages/toucandeal/src/toucandeal/limits.py
@@ -9,13 +9,14 @@
 
 from toucandeal.actions import ResizePool
 from toucandeal.entities import Target
-from toucandeal.membership import live_proxies
+from toucandeal.membership import host_count, is_host, live_proxies
 from toucandeal.tables import Frame, Tables, decide
 
 __all__ = [
     'connection_share',
     'free_slots',
     'has_joined',
+    'proxies_sharing',
     'share_connections',
     'slot_share',
 ]
@@ -53,7 +54,7 @@
     view = tables.views[target.name]
     return (
         min(
-            slot_share(target.slots, max(tables.proxies_counted, 1)),
+            slot_share(target.slots, proxies_sharing(tables, target.group)),
             view.connection_share - view.pinned,
         )
         - view.in_flight
@@ -74,9 +75,22 @@
     return len(seen.union(*(peer.live for peer in tables.peers.values())))
 
 
+def refresh_hosts(tables: Tables) -> None:
+    """Work out anew which groups this proxy hosts, and with how many others."""
+    tables.hosted.clear()
+    tables.hosted.update(
+        {group: is_host(tables, group) for group in tables.groups}
+    )
+    tables.sharing.clear()
+    tables.sharing.update(
+        {group: proxies_sharing(tables, group) for group in tables.groups}
+    )
+
+
 def share_connections(frame: Frame) -> None:
     """Adapt the divisor to the live proxies, and the pools to the divisor."""
     tables = frame.tables
+    refresh_hosts(tables)
     seen = _proxies_seen(tables)
     if tables.proxies_counted == 0:
         if not has_joined(tables, frame.now):
@@ -101,9 +115,25 @@
         counted=frame.tables.proxies_counted,
     )
     frame.tables.proxies_counted = proxies
+    refresh_hosts(frame.tables)
     frame.tables.share_since = frame.now
 
 
+def proxies_sharing(tables: Tables, group: str) -> int:
+    """Return how many proxies divide the limits of a group's targets."""
+    known = tables.sharing.get(group)
+    if known is not None:
+        return known
+    return max(min(tables.proxies_counted, host_count(tables, group)), 1)
+
+
+def _share_of(tables: Tables, target: Target) -> int:
+    if not is_host(tables, target.group):
+        return 0
+    sharing = proxies_sharing(tables, target.group)
+    return connection_share(target.connection_limit, sharing)
+
+
 def resize_pools(frame: Frame) -> None:
     """Ask for pools of the size of this proxy's share."""
     tables = frame.tables
@@ -114,9 +144,7 @@
     if not tables.proxies_counted:
         return
     for target in tables.targets.values():
-        share = connection_share(
-            target.connection_limit, tables.proxies_counted
-        )
+        share = _share_of(tables, target)
         view = tables.views[target.name]
         if share != view.connection_share:
             tables.views[target.name] = view._replace(connection_share=share)
--- a/packages/toucandeal/src/toucandeal/membership.py
+++ b/packages/toucandeal/src/toucandeal/membership.py
@@ -15,6 +15,9 @@
 
 __all__ = [
     'forget_silent_peers',
+    'host_count',
+    'hosts',
+    'is_host',
     'live_proxies',
     'peer_heard',
     'rendezvous_order',
@@ -22,6 +25,9 @@
 ]
 
 
+CONNECTIONS_A_HOST = 4  # to each target: one for control, three for data
+
+
 def rendezvous_order(names: Iterable[str], key: str) -> list[str]:
     """Return `names` by highest random weight for `key` [1]_.
 
@@ -50,14 +56,45 @@
     return sorted((tables.identity.name, *tables.peers))
 
 
+def host_count(tables: Tables, group: str) -> int:
+    """Return how many proxies may host a group at the most.
+
+    Every host holds connections to every target of the group, so the scarcest
+    target decides.
+    """
+    limits = (target.connection_limit for target in tables.group_targets(group))
+    return max(min(limits, default=0) // CONNECTIONS_A_HOST, 1)
+
+
+def hosts(tables: Tables, group: str) -> list[str]:
+    """Return the live proxies that host a group, the first one first."""
+    order = rendezvous_order(live_proxies(tables), group)
+    return order[: host_count(tables, group)]
+
+
+def is_host(tables: Tables, group: str) -> bool:
+    """Return whether this proxy hosts a group."""
+    known = tables.hosted.get(group)
+    if known is not None:
+        return known
+    count = host_count(tables, group)
+    if len(tables.peers) < count:
+        return True
+    return tables.identity.name in hosts(tables, group)
+
+
 def takeover_rank(tables: Tables, group: str) -> int:
-    """Return this proxy's place in the order of takeover of `group`."""
+    """Return this proxy's place in the order of takeover of `group`.
+
+    Where it does not host the group its place is behind all hosts.
+    """
     able = [
         name
-        for name in live_proxies(tables)
+        for name in hosts(tables, group)
         if name == tables.identity.name or not tables.peers[name].draining
     ]
-    return rendezvous_order(able, group).index(tables.identity.name)
+    own = tables.identity.name
+    return able.index(own) if own in able else len(able)
 
 
 def peer_heard(
--- a/packages/toucandeal/src/toucandeal/pacing.py
+++ b/packages/toucandeal/src/toucandeal/pacing.py
@@ -31,7 +31,7 @@
     """
     policies = tables.policies
     return _pace(
-        len(tables.targets),
+        tables.polled_targets or len(tables.targets),
         policies.heartbeat_s,
         policies.suspect_s,
         policies.control_share,
--- a/packages/toucandeal/src/toucandeal/requests.py
+++ b/packages/toucandeal/src/toucandeal/requests.py
@@ -268,8 +268,5 @@
 
 
 def _expire_sent(frame: Frame, request: Request) -> None:
-    reason = 'no answer before the deadline'
-    if request.is_write:
-        finish(frame, request, Unknown(reason, RETRY_AFTER_S))
-    else:
-        refuse(frame, request, reason)
+    sent = request._replace(may_have_run=True)
+    refuse(frame, sent, 'no answer before the deadline')
--- a/packages/toucandeal/src/toucandeal/sessions.py
+++ b/packages/toucandeal/src/toucandeal/sessions.py
@@ -17,6 +17,7 @@
 __all__ = [
     'Session',
     'advance',
+    'check_room',
     'decode_token',
     'encode_token',
     'read_unverified',
@@ -111,21 +112,25 @@
     return LogPosition(*session.seen.get(group, NOTHING_SEEN))
 
 
-def advance(session: Session, group: str, seen: LogPosition) -> Session:
-    """Return the session with `seen` added; a position never goes back.
+def check_room(session: Session, group: str) -> None:
+    """Check, before anything runs, that the session can hold `group`.
 
     Raises
     ------
     BadToken
         The session already spans the greatest number of groups.
     """
-    if seen <= seen_of(session, group):
-        return session
     if group not in session.seen and len(session.seen) >= MAX_GROUPS:
         raise BadToken(
-            f'The session spans more than {MAX_GROUPS} groups',
+            f'The session spans {MAX_GROUPS} groups, the most it can hold',
             'Start a new session for further groups',
         )
+
+
+def advance(session: Session, group: str, seen: LogPosition) -> Session:
+    """Return the session with `seen` added; a position never goes back."""
+    if seen <= seen_of(session, group):
+        return session
     return Session(session.caller, {**session.seen, group: tuple(seen)})
 
 
--- a/packages/toucandeal/src/toucandeal/tables.py
+++ b/packages/toucandeal/src/toucandeal/tables.py
@@ -88,6 +88,9 @@
         self.configuration_version = 0
         self.share_since: float = -math.inf
         self.proxies_counted = 0
+        self.polled_targets = 0
+        self.sharing: dict[str, int] = {}
+        self.hosted: dict[str, bool] = {}
         self.trusted_since: float = -math.inf
         self.ticked_at: float = -math.inf
         self.next_identity = 0
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/tests/test_membership.py
@@ -0,0 +1,78 @@
+"""Which proxies host a group, and what happens to groups that change."""
+
+import pytest
+
+from toucandeal import engine
+from toucandeal.actions import Poll, ResizePool
+from toucandeal.configuration import Row
+from toucandeal.entities import Peer
+from toucandeal.errors import BadToken
+from toucandeal.membership import hosts, is_host, peer_heard
+from toucandeal.sessions import MAX_GROUPS, Session, check_room
+from toucandeal.tests.world import GROUP, NAMES, target_document
+
+
+def _hear(world, names):
+    live = ('p', *names)
+    for name in names:
+        peer = Peer(name, 1, '', '', '', False, live, 7, world.now)
+        world.enter(peer_heard, peer, [])
+
+
+def _declare(world, names=NAMES, **changes):
+    version = world.held.version + 1
+    targets = [target_document(name, **changes) for name in names]
+    row = Row(f'group/{GROUP}', version, {'targets': targets})
+    world.held = world.enter(
+        engine.configuration_learned, world.held, version, [row]
+    )
+
+
+def test_scarce_connections_bound_the_hosts(world):
+    _hear(world, [f'q{number}' for number in range(9)])
+    _declare(world, connections=8)
+    world.tick()
+    assert len(hosts(world.tables, GROUP)) == 2
+    world.tables.identity = world.tables.identity._replace(
+        name=next(
+            n for n in world.tables.peers if n not in hosts(world.tables, GROUP)
+        )
+    )
+    assert len(hosts(world.tables, GROUP)) == 2
+
+
+@pytest.mark.parametrize('hosting', [True, False])
+def test_only_hosts_poll_and_hold_connections(world, hosting):
+    _hear(world, [f'q{number}' for number in range(9)])
+    _declare(world, connections=8)
+    order = hosts(world.tables, GROUP)
+    wanted = order[0] if hosting else 'zz'
+    world.tables.peers.pop(wanted, None)
+    world.tables.identity = world.tables.identity._replace(name=wanted)
+    if not hosting:
+        # A name that rendezvous hashing puts behind the hosts.
+        assert 'zz' not in hosts(world.tables, GROUP)
+    world.actions.clear()
+    world.tick(0.1)
+    world.tick(0.1)
+    assert is_host(world.tables, GROUP) == hosting
+    assert bool(world.taken(Poll)) == hosting
+    sizes = {resize.size for resize in world.taken(ResizePool)}
+    assert sizes == {3 * hosting}
+
+
+def test_primary_that_is_no_longer_declared_is_forgotten(world):
+    _declare(world, names=('b', 'c'))
+    view = world.tables.group_views[GROUP]
+    assert (view.primary, view.primary_term) == ('', 0)
+    assert view.term > 0
+    world.submit('book', key='k')
+    world.tick(0.02)
+
+
+def test_session_that_is_full_is_refused_before_anything_runs():
+    seen = {f'g{number}': (1, 1) for number in range(MAX_GROUPS)}
+    session = Session('one', seen)
+    check_room(session, 'g0')
+    with pytest.raises(BadToken, match='Start a new session'):
+        check_room(session, 'another')
--- a/packages/toucandeald/src/toucandeald/caller_service.py
+++ b/packages/toucandeald/src/toucandeald/caller_service.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import random
 import secrets
 from http import HTTPStatus
 from typing import Annotated, Any, NamedTuple
@@ -22,6 +23,7 @@
     ToucandealError,
     UnknownTransaction,
 )
+from toucandeal.membership import hosts, is_host
 from toucandeal.outcomes import Failed, Outcome, Refused, Served
 from toucandeal.request_keys import MAX_KEY_CHARS, Statement, check_statement
 from toucandeal.sessions import Session
@@ -106,17 +108,27 @@
         self._max_body_bytes = max_body_bytes
         self._numbers = itertools.count(1)
 
-    def handle(self, path: str, token: str, body: bytes) -> defer.Deferred:
+    def handle(
+        self, path: str, token: str, body: bytes, *, passed_on: bool = False
+    ) -> defer.Deferred:
         """Answer a request.
 
+        Parameters
+        ----------
+        path, token : str
+        body : bytes
+        passed_on : bool
+            A peer has passed the request on; it goes no further, so that
+            proxies whose views differ can't send it round in circles.
+
         Returns
         -------
         Deferred of Reply
         """
-        answer = defer.maybeDeferred(self._route, path, token, body)
+        answer = defer.maybeDeferred(self._route, path, token, body, passed_on)
         return answer.addErrback(_to_reply)
 
-    def _route(self, path: str, token: str, body: bytes):
+    def _route(self, path: str, token: str, body: bytes, passed_on: bool):
         if len(body) > self._max_body_bytes:
             raise BodyTooLarge(
                 f'The body has {len(body)} bytes',
@@ -124,16 +136,31 @@
             )
         match path.strip('/').split('/'):
             case ['v1', 'statements']:
-                return self._statements(token, body)
+                return self._statements(token, body, passed_on)
             case ['v1', 'transactions']:
-                return self._begin(token, body)
+                return self._begin(token, body, passed_on)
             case ['v1', 'transactions', identity, word] if word in _WORDS:
                 owner = identity.partition('.')[0]
-                if owner != self._runtime.tables.identity.name:
+                if (
+                    owner != self._runtime.tables.identity.name
+                    and not passed_on
+                ):
                     return self._pass_on(owner, path, token, body)
                 return self._operate(identity, _WORDS[word], token, body)
         raise BadBody(f'There is no endpoint {path!r}', 'See docs/PROTOCOL.md')
 
+    def _other_host(self, group: str) -> str:
+        """Return a proxy to pass requests of `group` on to, or nothing."""
+        tables = self._runtime.tables
+        if is_host(tables, group):
+            return ''
+        able = [
+            name
+            for name in hosts(tables, group)
+            if not tables.peers[name].draining
+        ]
+        return random.choice(able) if able else ''  # noqa: S311
+
     def _pass_on(self, owner: str, path: str, token: str, body: bytes):
         peer = self._runtime.tables.peers.get(owner)
         if peer is None:
@@ -144,11 +171,16 @@
             )
         return self.forward(peer.peer_address, path, token, body)
 
-    def _statements(self, token: str, body: bytes) -> defer.Deferred:
+    def _statements(
+        self, token: str, body: bytes, passed_on: bool
+    ) -> defer.Deferred:
         decoded = _decode(body, RequestBody)
         request_class = self._class_of(decoded)
         if not decoded.statements:
             raise BadBody('There are no statements', 'Send at least one')
+        host = self._other_host(request_class.group)
+        if host and not passed_on:
+            return self._pass_on(host, '/v1/statements', token, body)
         return self._submit(
             token,
             request_class,
@@ -159,7 +191,9 @@
             deadline_s=_seconds(decoded.deadline_ms),
         )
 
-    def _begin(self, token: str, body: bytes) -> defer.Deferred:
+    def _begin(
+        self, token: str, body: bytes, passed_on: bool
+    ) -> defer.Deferred:
         decoded = _decode(body, RequestBody)
         request_class = self._class_of(decoded)
         if not request_class.is_write:
@@ -172,6 +206,9 @@
                 'A begin carries no statements',
                 'Send them to the statements endpoint of the transaction',
             )
+        host = self._other_host(request_class.group)
+        if host and not passed_on:
+            return self._pass_on(host, '/v1/transactions', token, body)
         owner = self._runtime.tables.identity.name
         identity = f'{owner}.{next(self._numbers)}.{secrets.token_hex(4)}'
         return self._submit(
@@ -233,6 +270,7 @@
         self, token: str, request_class: RequestClass, **fields: Any
     ) -> defer.Deferred:
         session = sessions.decode_token(token, fields['caller'], self._secrets)
+        sessions.check_room(session, request_class.group)
         outcome = self._runtime.submit(
             request_class=request_class,
             seen=sessions.seen_of(session, request_class.group),
--- a/packages/toucandeald/src/toucandeald/configuration_sync.py
+++ b/packages/toucandeald/src/toucandeald/configuration_sync.py
@@ -210,8 +210,11 @@
                 f'{problem}; whether the change was written is not known',
                 f'Repeat the command with change id {change_id!r}',
             )
-        # Later rows may have come in between, so the rows are fetched anew.
-        yield self.refresh()
+        try:
+            # Other rows may have changed in between, so all are fetched.
+            yield self.refresh()
+        except StoreUnavailable as error:
+            self._note_store(failing=True, error=str(error))
         accepted = yield self._wait_in_force(version)
         return accepted
 
--- a/packages/toucandeald/src/toucandeald/membership_sync.py
+++ b/packages/toucandeald/src/toucandeald/membership_sync.py
@@ -2,15 +2,17 @@
 
 import itertools
 from collections.abc import Callable
+from http import HTTPStatus
 
+import msgspec
 from twisted.internet import defer
 
 from toucandeal.engine import group_reports
 from toucandeal.entities import Peer
-from toucandeal.errors import UnknownTransaction
 from toucandeal.membership import live_proxies, peer_heard
 from toucandeald.caller_service import CallerService, Reply
 from toucandeald.configuration_sync import ConfigurationSync
+from toucandeald.logs import log_event
 from toucandeald.peer_wire import (
     AskRows,
     Forward,
@@ -24,7 +26,21 @@
 
 __all__ = ['MembershipSync']
 
-FORWARD_TIMEOUT_S = 60.0
+FORWARD_TIMEOUT_S = 65.0  # past every class's deadline
+_NOT_PASSED_ON = msgspec.json.encode(
+    {
+        'outcome': 'refused',
+        'reason': 'the proxy that serves the group can not be reached',
+        'retry_after_ms': 100,
+    }
+)
+_LOST_FORWARD = msgspec.json.encode(
+    {
+        'outcome': 'unknown',
+        'reason': 'the proxy that the request was passed on to is gone',
+        'retry_after_ms': 100,
+    }
+)
 
 
 class MembershipSync:
@@ -45,7 +61,7 @@
         self._now = now
         self._runtime = runtime
         self._seeds = seeds
-        self._forwarded: dict[str, defer.Deferred] = {}
+        self._forwarded: dict[str, tuple[str, defer.Deferred]] = {}
         self._numbers = itertools.count(1)
 
     def beat(self) -> None:
@@ -65,6 +81,7 @@
         )
         addresses = self._addresses()
         self.sockets.keep_only(addresses)
+        self._give_up_lost()
         for address in addresses:
             self.sockets.send(address, message)
 
@@ -96,7 +113,14 @@
             self._answered(message)
 
     def _heartbeat(self, message: Heartbeat) -> None:
-        if message.sender == self._runtime.tables.identity.name:
+        own = self._runtime.tables.identity
+        if message.sender == own.name:
+            if message.incarnation != own.incarnation:
+                log_event(
+                    'fault',
+                    error=f'another proxy is named {own.name!r} too',
+                    remedy='Give each proxy a --name of its own',
+                )
             return
         peer = Peer(
             message.sender,
@@ -125,7 +149,7 @@
         """
         identity = f'{self._runtime.tables.identity.name}.{next(self._numbers)}'
         answer: defer.Deferred[Reply] = defer.Deferred()
-        self._forwarded[identity] = answer
+        self._forwarded[identity] = address, answer
         sent = self.sockets.send(
             address,
             Forward(
@@ -138,21 +162,33 @@
         )
         if not sent:
             del self._forwarded[identity]
-            raise UnknownTransaction(
-                'The proxy that holds the transaction can not be reached; the '
-                'request was not passed on',
-                'Send it to another proxy',
+            return defer.succeed(
+                Reply(HTTPStatus.SERVICE_UNAVAILABLE, '', _NOT_PASSED_ON)
             )
         answer.addTimeout(FORWARD_TIMEOUT_S, self._reactor)
-        answer.addBoth(self._forget, identity)
-        return answer
+        answer.addErrback(lambda _: _lost_reply())
+        return answer.addCallback(self._forget, identity)
 
     def _forget(self, reply, identity: str):
         self._forwarded.pop(identity, None)
         return reply
 
+    def _give_up_lost(self) -> None:
+        """Answer the requests that were passed on to peers now gone."""
+        peers = self._runtime.tables.peers.values()
+        live = {peer.peer_address for peer in peers}
+        lost = [
+            waiting
+            for address, waiting in self._forwarded.values()
+            if address not in live
+        ]
+        for waiting in lost:
+            waiting.callback(_lost_reply())
+
     def _serve(self, message: Forward) -> None:
-        answer = self.callers.handle(message.path, message.token, message.body)
+        answer = self.callers.handle(
+            message.path, message.token, message.body, passed_on=True
+        )
         answer.addCallback(
             lambda reply: self.sockets.send(
                 message.peer_address,
@@ -163,6 +199,10 @@
         )
 
     def _answered(self, message: Forwarded) -> None:
-        waiting = self._forwarded.get(message.identity)
+        _, waiting = self._forwarded.get(message.identity, ('', None))
         if waiting is not None:
             waiting.callback(Reply(message.status, message.token, message.body))
+
+
+def _lost_reply() -> Reply:
+    return Reply(HTTPStatus.GATEWAY_TIMEOUT, '', _LOST_FORWARD)
--- a/packages/toucandeald/src/toucandeald/peers.py
+++ b/packages/toucandeald/src/toucandeald/peers.py
@@ -13,6 +13,7 @@
 from zope.interface import implementer
 
 from toucandeal.errors import BadSetting
+from toucandeald.logs import log_event
 from toucandeald.peer_wire import Message
 
 __all__ = ['PeerSockets']
@@ -20,6 +21,7 @@
 HIGH_WATER = 1000  # messages queued for a peer
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 500
+SHOWN_BYTES = 200  # of a message that could not be taken in
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
@@ -69,11 +71,16 @@
             except zmq.Again:
                 return
             self.bytes_received += len(frame)
-            try:
-                message = _decode(frame)
-            except msgspec.MsgspecError:
-                continue
-            self._received(message)
+            self._take(frame)
+
+    def _take(self, frame: bytes) -> None:
+        try:
+            self._received(_decode(frame))
+        except Exception as error:  # noqa: BLE001
+            # Twisted drops a reader that raises, and with it all peers.
+            log_event(
+                'fault', error=repr(error), message=repr(frame[:SHOWN_BYTES])
+            )
 
     def send(self, address: str, message: Message) -> bool:
         """Send a message to a peer; return whether it was taken."""
