Never promote the primary that failed; count health from the contact itself

The trace of takeovers showed two things. The cut-off primary answers the fence and has the longest log, so it was promoted again, up to four times in a row, while nobody could confirm its writes. And peers vouched for a primary for 0.15 s longer than it was healthy, because health was dated by the poll that showed an old contact.

Change: a majority without the failed primary has to be fenced, and one of those is promoted; health is dated by the replicas' last contact.

Ruled out: the wait for the turn (0 s in each trace) and the fences (5 ms).

--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/__main__.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/__main__.py
@@ -52,7 +52,7 @@
 )
 WHOLE = Size(
     20,
-    8,
+    6,
     120,
     (ATELIER, CONSORCIO),
     (0.5, 1, 3),
--- a/packages/toucandeal/src/toucandeal/evidence.py
+++ b/packages/toucandeal/src/toucandeal/evidence.py
@@ -180,7 +180,7 @@
         learn_primary(frame, group, name, status.term, 'status')
         _sample(tables, group, name, Sample(status.held, sent_at))
     _prove(tables, group)
-    _note_health(frame, group)
+    _note_health(tables, group)
 
 
 def _sample(tables: Tables, group: str, name: str, sample: Sample) -> None:
@@ -204,15 +204,26 @@
     )
 
 
-def _note_health(frame: Frame, group: str) -> None:
-    tables = frame.tables
+def _contact_time(tables: Tables, group: str) -> float:
+    """Return when enough replicas for a majority last heard their primary."""
+    times = [
+        view.sent_at - view.status.upstream_age_s
+        for view in _replica_views(tables, group)
+        if view.status is not None
+    ]
+    rank = replicas_to_confirm(len(tables.groups[group].targets))
+    return kth_largest(times, rank, -math.inf, math.inf)
+
+
+def _note_health(tables: Tables, group: str) -> None:
     view = tables.group_views[group]
-    if not view.primary:
-        return
-    needed = replicas_to_confirm(len(tables.groups[group].targets))
-    if replicas_in_contact(tables, group, frame.now) >= needed:
-        answered = tables.views[view.primary].sent_at
-        tables.group_views[group] = view._replace(healthy_at=answered)
+    if view.primary:
+        # Counted from the contact itself, not from the poll that showed it,
+        # or peers would vouch for a primary that was lost long since.
+        healthy_at = min(
+            tables.views[view.primary].sent_at, _contact_time(tables, group)
+        )
+        tables.group_views[group] = view._replace(healthy_at=healthy_at)
 
 
 def status_failed(frame: Frame, name: str) -> None:
--- a/packages/toucandeal/src/toucandeal/failover.py
+++ b/packages/toucandeal/src/toucandeal/failover.py
@@ -20,7 +20,7 @@
 from toucandeal.pacing import pace
 from toucandeal.positions import LogPosition, majority, replicas_to_confirm
 from toucandeal.routing import is_available, is_leaving
-from toucandeal.tables import Frame, Tables, decide
+from toucandeal.tables import Frame, GroupView, Tables, decide
 from toucandeal.takeovers import (
     Grant,
     Stage,
@@ -38,6 +38,10 @@
 ]
 
 
+CUT_OFF = 'primary is cut off from its replicas'
+SILENT = 'primary is silent'
+
+
 def _fresh_targets(tables: Tables, group: str, now: float) -> list[str]:
     limit = pace(tables).suspect_s
     return [
@@ -87,7 +91,7 @@
         return ''
     if view.primary in fresh:
         return _isolation_reason(tables, group, fresh)
-    return 'primary is silent'
+    return SILENT
 
 
 def _isolation_reason(tables: Tables, group: str, fresh: list[str]) -> str:
@@ -95,7 +99,7 @@
     replicas = len(fresh) - 1
     if replicas < majority(servers):
         return ''
-    return 'primary is cut off from its replicas'
+    return CUT_OFF
 
 
 def run_failover(frame: Frame, group: str) -> None:
@@ -168,13 +172,24 @@
     )
     raise_term(frame, group, term)
     tables.group_views[group] = tables.group_views[group]._replace(
-        takeover=Takeover(term, stage, frame.now, wanted=wanted, reason=reason)
+        takeover=Takeover(
+            term,
+            stage,
+            frame.now,
+            wanted=wanted,
+            failed=_failed_primary(view, reason),
+            reason=reason,
+        )
     )
     frame.actions.append(TellPeers())
     names = (view.primary,) if wanted else tables.groups[group].targets
     frame.actions.extend(Fence(group, name, term) for name in names)
 
 
+def _failed_primary(view: GroupView, reason: str) -> str:
+    return view.primary if reason in {CUT_OFF, SILENT} else ''
+
+
 def start_switchover(frame: Frame, group: str, wanted: str) -> None:
     """Begin a planned change of primary.
 
@@ -297,13 +312,16 @@
 def _promote_if_fenced(frame: Frame, group: str, takeover: Takeover) -> None:
     tables = frame.tables
     names = tables.groups[group].targets
-    granted = {grant.target for grant in takeover.grants}
+    eligible = tuple(
+        grant for grant in takeover.grants if grant.target != takeover.failed
+    )
+    granted = {grant.target for grant in eligible}
     if len(granted) < majority(len(names)):
         return
     if takeover.wanted and takeover.wanted not in granted:
         return
     leaving = frozenset(name for name in names if tables.targets[name].leaving)
-    candidate = best_candidate(takeover.grants, leaving, takeover.wanted)
+    candidate = best_candidate(eligible, leaving, takeover.wanted)
     decide(
         frame,
         'promote',
--- a/packages/toucandeal/src/toucandeal/takeovers.py
+++ b/packages/toucandeal/src/toucandeal/takeovers.py
@@ -29,7 +29,8 @@
     """One attempt to replace a primary.
 
     `wanted` names the candidate of a planned switchover, and is empty after
-    a failure.
+    a failure. `failed` names the primary that failed; it may answer a fence,
+    but promoting it would change nothing.
     """
 
     term: int
@@ -38,6 +39,7 @@
     grants: tuple[Grant, ...] = ()
     candidate: str = ''
     wanted: str = ''
+    failed: str = ''
     reason: str = ''
 
 
--- a/packages/toucandeal/src/toucandeal/tests/test_failover.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_failover.py
@@ -69,6 +69,22 @@
     assert world.taken(Promote)[0].target == 'c'
 
 
+def test_primary_that_is_cut_off_is_not_promoted_again(world):
+    for _ in range(6):
+        world.now += 0.05
+        # The primary answers and has the longest log, which nobody confirms.
+        world.status('a', 9, primary=True)
+        world.status('b', 5, upstream_age_s=LOST)
+        world.status('c', 5, upstream_age_s=LOST)
+        world.tick()
+    fences = {fence.target: fence for fence in world.taken(Fence)}
+    _grant(world, fences['a'], 9)
+    _grant(world, fences['b'], 5)
+    assert not world.taken(Promote)
+    _grant(world, fences['c'], 5)
+    assert world.taken(Promote)[0].target in {'b', 'c'}
+
+
 @pytest.mark.parametrize(
     ('primary_age', 'replicas_in_touch', 'expected'),
     [
@@ -99,6 +115,16 @@
     assert not world.taken(Fence)
 
 
+def test_health_counts_from_the_replicas_contact_not_from_the_poll(world):
+    world.now += 0.1
+    contact = world.now - 0.12
+    world.status('a', 5, primary=True)
+    world.status('b', 5, upstream_age_s=0.12)
+    world.status('c', 5, upstream_age_s=0.12)
+    view = world.tables.group_views[GROUP]
+    assert view.healthy_at == pytest.approx(contact)
+
+
 def test_second_proxy_in_order_waits_longer(world):
     first = {}
     for name in ('q', 'r', 's'):
