Close the three gaps that the broken mechanisms showed in the tests

Cause: of 33 mechanisms broken by hand, three went unnoticed: the grace of an overdue answer, the closing of a connection that sent two answers, and the graceful stop, whose test hung in its own threads instead of failing. Two faults mended before had no test.

Change: a case for an answer after the deadline; a check of which connections are used again; the stop test's threads end with the process, and a proxy that is gone counts as not ready; tests for a store that goes down right after a change, and for two proxies with one name.

--- a/packages/toucandeal-standins/src/toucandeal_standins/platform_service.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/platform_service.py
@@ -57,6 +57,7 @@
     down: bool = False
     slow_ms: float = 0
     lose_answers: int = 0
+    down_after_writes: int = 0
 
 
 class PlatformServer:
@@ -88,6 +89,9 @@
         reactor.callLater(server.faults.slow_ms / 1000, waited.callback, None)
         yield waited
     answer = _route(server, method, path.strip('/').split('/'), body)
+    if method != 'GET' and server.faults.down_after_writes > 0:
+        server.faults.down_after_writes -= 1
+        server.faults.down = server.faults.down_after_writes == 0
     if method != 'GET' and server.faults.lose_answers > 0:
         server.faults.lose_answers -= 1
         connection.drop()
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
@@ -10,6 +10,7 @@
     ATELIER,
     free_port,
     post,
+    start_proxy,
     wait_until,
 )
 from toucandeal_standins.declared import declared_cluster
@@ -139,6 +140,31 @@
     assert _freshness(shared.proxies[0]) != 32
 
 
+def test_change_is_accepted_though_the_store_goes_down_right_after(shared):
+    shared.platform_fault(down_after_writes=1)
+    answer = shared.proxies[0].command('set class glance freshness 41s')
+    shared.platform_fault(down=False)
+    assert answer['accepted'] == 'class/glance'
+    wait_until(
+        lambda: {_freshness(proxy) for proxy in shared.proxies} == {41},
+        'the change in force',
+    )
+
+
+def test_two_proxies_with_one_name_are_reported(shared):
+    first = shared.proxies[0]
+    twin = start_proxy(
+        shared, first.name, 'd', f'127.0.0.1:{free_port()}', [first.peers]
+    )
+    shared.proxies.remove(twin)
+    try:
+        wait_until(
+            lambda: b'is named' in first.log.read_bytes(), 'the log line'
+        )
+    finally:
+        twin.process.kill()
+
+
 def test_command_line_prints_tables_json_and_errors(shared):
     def run(*words):
         return subprocess.run(
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_targets.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_targets.py
@@ -47,6 +47,13 @@
     return defer.Deferred()
 
 
+def _late(connection, raw):
+    """Answer after the request's deadline, but within the grace."""
+    answer = defer.Deferred()
+    reactor.callLater(0.5, answer.callback, _ran(connection, raw))
+    return answer
+
+
 def _half(connection, raw):
     connection.transport.write(
         b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{"request_id"'
@@ -89,6 +96,7 @@
     (_crossed, Lost),
     (_cut, Lost),
     (_silent, Lost),
+    (_late, Ran),
     (_half, Lost),
     (_twice, Ran),
     (_no_http, Lost),
@@ -113,21 +121,23 @@
 def _execute(behaviour):
     """Run one request, then a good one; return what became of both."""
     behaviours = [behaviour, _ran]
+    connections = []
 
     def handle(connection, method, path, raw):
         if path == '/status':
             return STATUS
+        connections.append(connection)
         return behaviours.pop(0)(connection, raw)
 
     port = yield serve(reactor, 0, handle)
     targets = Targets(reactor, monotonic, {})
     targets.resize('t', f'127.0.0.1:{port.getHost().port}', 1)
-    timeout_s = 0.2 if behaviour is _silent else WAIT_S
+    timeout_s = 0.2 if behaviour in {_silent, _late} else WAIT_S
     first = yield targets.execute(_request(timeout_s), 't', 3)
     second = yield targets.execute(_request(WAIT_S), 't', 3)
     targets.pool('t', '').close()
     yield port.stopListening()
-    return first, second
+    return first, second, len(set(connections)) == 1
 
 
 def _in_reactor(function, *arguments):
@@ -163,6 +173,14 @@
 def test_misbehaviour_is_told_apart_and_never_reaches_the_next(
     outcomes, number
 ):
-    first, second = outcomes[number]
+    first, second, _ = outcomes[number]
     assert type(first) is CASES[number][1]
     assert isinstance(second, Ran)
+
+
+@pytest.mark.parametrize('behaviour', [_ran, _late, _failed, _twice, _crossed])
+def test_connection_is_used_again_only_after_one_own_answer(
+    outcomes, behaviour
+):
+    number = [case[0] for case in CASES].index(behaviour)
+    assert outcomes[number][2] == (behaviour in {_ran, _late, _failed})
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_whole_path.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_whole_path.py
@@ -48,6 +48,13 @@
     assert session.bookings('one', proxy=0) == 1
 
 
+def _ready(proxy):
+    try:
+        return proxy.ready()
+    except OSError:
+        return False
+
+
 def test_planned_stop_under_load_cuts_no_request(cluster):
     stopped = threading.Event()
     replies = []
@@ -60,14 +67,15 @@
             replies.append(session.book(f'{worker}-{number}', proxy=0))
 
     threads = [
-        threading.Thread(target=send, args=(number,)) for number in range(4)
+        threading.Thread(target=send, args=(number,), daemon=True)
+        for number in range(4)
     ]
     for thread in threads:
         thread.start()
     wait_until(lambda: len(replies) > 20, 'load')
     proxy = cluster.proxies[0]
     proxy.process.signal(signal.SIGTERM)
-    wait_until(lambda: not proxy.ready(), 'readiness off')
+    wait_until(lambda: not _ready(proxy), 'readiness off')
     served_while_draining = len(replies)
     wait_until(lambda: len(replies) > served_while_draining + 5, 'more load')
     stopped.set()
