Split the large stand-in module, remove what stood twice; mend its connections

Ruled out by log lines at each step: a stuck control request (every one ended), a leak in flight (0 at all targets). The target stand-in answered 503: it counted connections that had closed while their request was on its way, so its limit of 16 filled up for good.

Change: the stand-in drops requests of closed connections. Beside it: process handling has a module of its own, the reactor's start and the inserts of the catalogue stand once, a field that nothing set is gone.

--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/__main__.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/__main__.py
@@ -6,7 +6,7 @@
 
 import click
 from tqdm import tqdm
-from twisted.internet import defer, reactor
+from twisted.internet import defer
 
 from toucandeal_standins.bench.configuration import measure_configuration
 from toucandeal_standins.bench.control import (
@@ -23,6 +23,7 @@
 from toucandeal_standins.bench.report import Measure, show
 from toucandeal_standins.bench.throughput import measure_throughput
 from toucandeal_standins.cluster import ATELIER, CONSORCIO
+from toucandeal_standins.reactor_run import run_in_reactor
 
 __all__ = ['main']
 
@@ -192,18 +193,8 @@
 def main(only: tuple[str, ...], seed: int, *, quick: bool) -> None:
     """Measure, and print a table and a line of JSON for each measure."""
     names = list(only or MEASURES)
-    measures: list[Measure] = []
-
-    def start() -> None:
-        running = _run(names, QUICK if quick else WHOLE, seed)
-        running.addCallbacks(
-            measures.extend,
-            lambda failure: click.echo(failure.getTraceback(), err=True),
-        )
-        running.addBoth(lambda _: reactor.stop())
-
-    reactor.callWhenRunning(start)
-    reactor.run()
+    size = QUICK if quick else WHOLE
+    measures = run_in_reactor(lambda: _run(names, size, seed))
     if not measures:
         raise click.ClickException('a measure failed; see above')
     show(measures)
--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/control.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/control.py
@@ -16,15 +16,9 @@
 from toucandeal_standins.bench.load import sleep
 from toucandeal_standins.bench.processes import usage
 from toucandeal_standins.bench.report import Measure, Series
-from toucandeal_standins.cluster import (
-    ATELIER,
-    Cluster,
-    Process,
-    post,
-    running_cluster,
-    wait_until,
-)
+from toucandeal_standins.cluster import ATELIER, Cluster, running_cluster
 from toucandeal_standins.idle_targets import SERVERS
+from toucandeal_standins.process import Process, post, wait_until
 
 __all__ = ['measure_idle', 'measure_tables', 'slopes']
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/failover.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/failover.py
@@ -10,13 +10,9 @@
 from toucandeal_standins.bench.load import sleep
 from toucandeal_standins.bench.report import Measure, Series
 from toucandeal_standins.callers import Callers, Session
-from toucandeal_standins.cluster import (
-    Cluster,
-    Deployment,
-    Server,
-    wait_until,
-)
+from toucandeal_standins.cluster import Cluster, Deployment, Server
 from toucandeal_standins.declared import declared_cluster
+from toucandeal_standins.process import wait_until
 
 __all__ = ['CASES', 'measure_failover']
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/reads.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/reads.py
@@ -17,8 +17,9 @@
 from toucandeal_standins.bench.load import arrivals
 from toucandeal_standins.bench.report import Measure
 from toucandeal_standins.callers import Callers, Session
-from toucandeal_standins.cluster import Cluster, Deployment, post
+from toucandeal_standins.cluster import Cluster, Deployment
 from toucandeal_standins.declared import declared_cluster
+from toucandeal_standins.process import post
 
 __all__ = ['CONDITIONS', 'measure_reads']
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/throughput.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/throughput.py
@@ -10,14 +10,9 @@
 from toucandeal_standins.bench.processes import usage
 from toucandeal_standins.bench.report import Measure
 from toucandeal_standins.callers import Callers
-from toucandeal_standins.cluster import (
-    ATELIER,
-    Process,
-    free_port,
-    post,
-    wait_until,
-)
+from toucandeal_standins.cluster import ATELIER
 from toucandeal_standins.declared import declared_cluster
+from toucandeal_standins.process import Process, free_port, post, wait_until
 
 __all__ = ['measure_throughput']
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/catalogue.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/catalogue.py
@@ -143,33 +143,25 @@
     ledger.by_kind[kind.request_class, outcome] += 1
 
 
-@defer.inlineCallbacks
+def _booking(callers, ledger: Ledger, session: Session, request_class: str):
+    """Book one reel."""
+    insert = 'INSERT INTO booking VALUES (?, ?)'
+    rows = [ledger.random.randrange(100)]
+    return _write(callers, ledger, session, request_class, insert, rows)
+
+
 def _passes(callers, ledger: Ledger, session: Session, request_class: str):
     """Log two correction passes in one request."""
-    tag = ledger.next_tag()
-    answer = yield callers.request(
-        session,
-        STATEMENTS,
-        {
-            'caller': session.caller,
-            'class': request_class,
-            'key': f'{session.caller}-{tag}',
-            'statements': [
-                {
-                    'sql': 'INSERT INTO pass VALUES (?, ?)',
-                    'parameters': [tag, frame],
-                }
-                for frame in (1, 2)
-            ],
-        },
-    )
-    if answer.served:
-        _acknowledge(ledger, session, 'pass', tag)
-    return answer
+    insert = 'INSERT INTO pass VALUES (?, ?)'
+    return _write(callers, ledger, session, request_class, insert, [1, 2])
 
 
 @defer.inlineCallbacks
-def _booking(callers, ledger: Ledger, session: Session, request_class: str):
+def _write(
+    callers, ledger: Ledger, session: Session, request_class: str,
+    insert: str, rows: list[int],
+):  # fmt: skip
+    """Insert rows under a new tag, which is the request key too."""
     tag = ledger.next_tag()
     answer = yield callers.request(
         session,
@@ -179,15 +171,13 @@
             'class': request_class,
             'key': f'{session.caller}-{tag}',
             'statements': [
-                {
-                    'sql': 'INSERT INTO booking VALUES (?, ?)',
-                    'parameters': [tag, ledger.random.randrange(100)],
-                }
+                {'sql': insert, 'parameters': [tag, row]} for row in rows
             ],
         },
     )
     if answer.served:
-        _acknowledge(ledger, session, 'booking', tag)
+        table = 'pass' if 'pass' in insert else 'booking'
+        _acknowledge(ledger, session, table, tag)
     return answer
 
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/declared.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/declared.py
@@ -12,8 +12,8 @@
     declare_group_text,
     group_names,
     running_cluster,
-    wait_until,
 )
+from toucandeal_standins.process import wait_until
 from toucandeal_standins.requests import SyncSession
 
 __all__ = ['declare_all', 'declared_cluster']
--- a/packages/toucandeal-standins/src/toucandeal_standins/demo.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/demo.py
@@ -21,10 +21,10 @@
     ATELIER,
     Cluster,
     declare_group_text,
-    post,
     running_cluster,
-    wait_until,
 )
+from toucandeal_standins.process import post, wait_until
+from toucandeal_standins.reactor_run import run_in_reactor
 
 __all__ = ['main']
 
@@ -164,22 +164,6 @@
         signal.signal(signal.SIGTERM, before)
 
 
-def _run_day(cluster: Cluster, seconds: float, seed: int) -> dict | None:
-    results = []
-
-    def start() -> None:
-        day = _day(cluster, seconds, seed)
-        day.addCallbacks(
-            results.append,
-            lambda failure: click.echo(failure.getTraceback(), err=True),
-        )
-        day.addBoth(lambda _: reactor.stop())
-
-    reactor.callWhenRunning(start)
-    reactor.run()
-    return results[0] if results else None
-
-
 @click.command()
 @click.option('--seconds', type=float, default=12.0, help='Length of the day.')
 @click.option('--seed', type=int, default=1)
@@ -192,7 +176,7 @@
         click.echo(
             f'The day begins; about 1 request in {SHOWN_EVERY} is shown:'
         )
-        summary = _run_day(cluster, seconds, seed)
+        summary = run_in_reactor(lambda: _day(cluster, seconds, seed))
     click.echo(f'Took {time.monotonic() - started:.0f} s.')
     if summary is None:
         sys.exit(1)
--- a/packages/toucandeal-standins/src/toucandeal_standins/http_server.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/http_server.py
@@ -95,6 +95,8 @@
             function(*arguments)
 
     def _handle(self, method: str, path: str, body: bytes) -> None:
+        if not self.is_open:
+            return  # closed while the request was on its way
         answer = defer.maybeDeferred(self._handler, self, method, path, body)
         answer.addCallbacks(self._succeeded, self._failed)
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/requests.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/requests.py
@@ -5,7 +5,8 @@
 from http import client
 from typing import Any, NamedTuple
 
-from toucandeal_standins.cluster import Cluster, post
+from toucandeal_standins.cluster import Cluster
+from toucandeal_standins.process import post
 
 __all__ = ['Reply', 'SyncSession', 'in_background']
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_callers.py
@@ -7,8 +7,9 @@
 import pytest
 
 from toucandeal.sessions import Session, encode_token
-from toucandeal_standins.cluster import TOKEN_KEYS, post
+from toucandeal_standins.cluster import TOKEN_KEYS
 from toucandeal_standins.declared import declared_cluster
+from toucandeal_standins.process import post
 from toucandeal_standins.requests import SyncSession
 
 GOOD = {
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
@@ -6,14 +6,9 @@
 
 import pytest
 
-from toucandeal_standins.cluster import (
-    ATELIER,
-    free_port,
-    post,
-    start_proxy,
-    wait_until,
-)
+from toucandeal_standins.cluster import ATELIER, start_proxy
 from toucandeal_standins.declared import declared_cluster
+from toucandeal_standins.process import free_port, post, wait_until
 from toucandeal_standins.requests import SyncSession, in_background
 
 BAD_COMMANDS = [
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_settings.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_settings.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from toucandeal_standins.cluster import free_port
+from toucandeal_standins.process import free_port
 
 
 def _flags(**changes):
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_faults.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_faults.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from toucandeal_standins.cluster import ATELIER, wait_until
+from toucandeal_standins.cluster import ATELIER
 from toucandeal_standins.declared import declared_cluster
 from toucandeal_standins.faults import FAULTS
+from toucandeal_standins.process import wait_until
 from toucandeal_standins.writers import Writers
 
 FIVE_SERVERS = ATELIER._replace(servers=5)
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_whole_path.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_whole_path.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from toucandeal_standins.cluster import wait_until
+from toucandeal_standins.process import wait_until
 from toucandeal_standins.requests import SyncSession
 
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/writers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/writers.py
@@ -10,7 +10,8 @@
 from collections import Counter
 from typing import NamedTuple
 
-from toucandeal_standins.cluster import Cluster, wait_until
+from toucandeal_standins.cluster import Cluster
+from toucandeal_standins.process import wait_until
 from toucandeal_standins.requests import SyncSession
 
 __all__ = ['Verdict', 'Writers']
--- a/packages/toucandeal/src/toucandeal/routing.py
+++ b/packages/toucandeal/src/toucandeal/routing.py
@@ -97,8 +97,6 @@
     view = tables.group_views[request.request_class.group]
     if not writable(view):
         return Wait('no primary')
-    if frame.now < view.held_until:
-        return Wait('switchover', view.held_until)
     primary = tables.targets[view.primary]
     if request.is_write and is_leaving(tables, primary):
         return Wait('primary is leaving')
--- a/packages/toucandeal/src/toucandeal/tables.py
+++ b/packages/toucandeal/src/toucandeal/tables.py
@@ -55,7 +55,6 @@
     suspect_reason: str = ''
     takeover: Takeover | None = None
     retry_at: float = -math.inf
-    held_until: float = -math.inf
 
 
 class Tables:
