--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/__main__.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/__main__.py
@@ -192,15 +192,23 @@
 @click.option('--quick', is_flag=True, help='Everything within a minute.')
 @click.option('--only', multiple=True, type=click.Choice(list(MEASURES)))
 @click.option('--deployment', type=click.Choice(list(DEPLOYMENTS)))
+@click.option('--case', type=click.Choice(list(CASES)), help='Of failover.')
 @click.option('--seed', type=int, default=1)
 def main(
-    only: tuple[str, ...], deployment: str | None, seed: int, *, quick: bool
+    only: tuple[str, ...],
+    deployment: str | None,
+    case: str | None,
+    seed: int,
+    *,
+    quick: bool,
 ) -> None:
     """Measure, and print a table and a line of JSON for each measure."""
     names = list(only or MEASURES)
     size = QUICK if quick else WHOLE
     if deployment:
         size = size._replace(deployments=(DEPLOYMENTS[deployment],))
+    if case:
+        size = size._replace(cases=(case,), baselines=False)
     measures = run_in_reactor(lambda: _run(names, size, seed))
     if not measures:
         raise click.ClickException('a measure failed; see above')
