Give a new proxy some retries, so that a switchover costs no unknown outcome

A write that the old primary ran just before its fence can be overtaken by the new term before a poll shows it confirmed; it is then resolved by its key, which costs a retry, and a proxy that has served fewer than ten requests had earned none.

Change: the budget starts at ten. The test of a superseded write no longer grants the retry itself.

--- a/packages/toucandeal/src/toucandeal/tables.py
+++ b/packages/toucandeal/src/toucandeal/tables.py
@@ -26,6 +26,8 @@
 
 __all__ = ['Frame', 'GroupView', 'Self', 'Tables', 'decide']
 
+FIRST_RETRIES = 10.0  # retries that a proxy may make before it earns any
+
 
 class Self(NamedTuple):
     """The proxy's own identity."""
@@ -95,7 +97,7 @@
         self.trusted_since: float = -math.inf
         self.ticked_at: float = -math.inf
         self.next_identity = 0
-        self.retry_tokens: float = 0.0
+        self.retry_tokens = FIRST_RETRIES
         self.backoffs: dict[str, Backoff] = defaultdict(Backoff)
 
     def group_targets(self, group: str) -> list[Target]:
--- a/packages/toucandeal/src/toucandeal/tests/test_confirming.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_confirming.py
@@ -41,7 +41,7 @@
 def test_write_of_a_superseded_primary_is_resolved_by_its_key(world):
     identity = _write(world)
     world.answer(identity, 'a', Ran([], LogPosition(TERM, 6)))
-    world.tables.retry_tokens = 1
+    # The proxy has just started and has earned no retry yet.
     world.status('b', 6, primary=True, term=TERM + 1)
     (again,) = world.taken(Execute)
     assert (again.request, again.target) == (identity, 'b')
