Move the choice of another host into the library; wait for connections once

Cause, found by reading the whole change once more: - The adapter for callers chose the proxy that a request is passed on to, with a random generator of its own and without a log line.

--- a/packages/toucandeal/src/toucandeal/membership.py
+++ b/packages/toucandeal/src/toucandeal/membership.py
@@ -15,6 +15,7 @@
 from toucandeal.tables import Frame, Tables, decide
 
 __all__ = [
+    'choose_host',
     'forget_silent_peers',
     'host_count',
     'hosts',
@@ -88,6 +89,32 @@
     return tables.identity.name in hosts(tables, group)
 
 
+def choose_host(frame: Frame, group: str) -> str:
+    """Return a proxy to pass requests of `group` on to, or an empty string.
+
+    Notes
+    -----
+    This proxy may itself be among the hosts already, where the others have
+    changed since it last worked out which groups it hosts.
+    """
+    peers = frame.tables.peers
+    able = [
+        name
+        for name in hosts(frame.tables, group)
+        if name in peers and not peers[name].draining
+    ]
+    chosen = frame.random.choice(able) if able else ''
+    decide(
+        frame,
+        'route',
+        group,
+        chosen,
+        'another proxy hosts the group',
+        candidates=len(able),
+    )
+    return chosen
+
+
 def takeover_rank(tables: Tables, group: str) -> int:
     """Return this proxy's place in the order of takeover of `group`.
 
--- a/packages/toucandeal/src/toucandeal/tests/test_membership.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_membership.py
@@ -7,7 +7,12 @@
 from toucandeal.configuration import Row
 from toucandeal.entities import Peer
 from toucandeal.errors import BadToken
-from toucandeal.membership import hosts, is_host, peer_heard
+from toucandeal.membership import (
+    choose_host,
+    hosts,
+    is_host,
+    peer_heard,
+)
 from toucandeal.sessions import MAX_GROUPS, Session, check_room
 from toucandeal.tests.world import GROUP, NAMES, target_document
 
@@ -61,6 +66,18 @@
     assert sizes == {3 * hosting}
 
 
+def test_request_is_passed_on_to_another_host_that_stays(world):
+    _hear(world, [f'q{number}' for number in range(9)])
+    _declare(world, connections=8)
+    first, second = hosts(world.tables, GROUP)
+    world.tables.identity = world.tables.identity._replace(name=first)
+    world.tables.peers.pop(first, None)
+    assert world.enter(choose_host, GROUP) == second
+    peer = world.tables.peers[second]
+    world.tables.peers[second] = peer._replace(draining=True)
+    assert not world.enter(choose_host, GROUP)
+
+
 def test_primary_that_is_no_longer_declared_is_forgotten(world):
     _declare(world, names=('b', 'c'))
     view = world.tables.group_views[GROUP]
--- a/packages/toucandeald/src/toucandeald/caller_service.py
+++ b/packages/toucandeald/src/toucandeald/caller_service.py
@@ -6,7 +6,6 @@
 """
 
 import itertools
-import random
 import secrets
 from http import HTTPStatus
 from typing import Annotated, Any, NamedTuple
@@ -23,7 +22,7 @@
     ToucandealError,
     UnknownTransaction,
 )
-from toucandeal.membership import hosts, is_host
+from toucandeal.membership import choose_host, is_host
 from toucandeal.outcomes import Failed, Outcome, Refused, Served
 from toucandeal.request_keys import MAX_KEY_CHARS, Statement, check_statement
 from toucandeal.sessions import Session
@@ -151,15 +150,9 @@
 
     def _other_host(self, group: str) -> str:
         """Return a proxy to pass requests of `group` on to, or nothing."""
-        tables = self._runtime.tables
-        if is_host(tables, group):
+        if is_host(self._runtime.tables, group):
             return ''
-        able = [
-            name
-            for name in hosts(tables, group)
-            if not tables.peers[name].draining
-        ]
-        return random.choice(able) if able else ''  # noqa: S311
+        return self._runtime.enter(choose_host, group)
 
     def _pass_on(self, owner: str, path: str, token: str, body: bytes):
         peer = self._runtime.tables.peers.get(owner)
--- a/packages/toucandeald/src/toucandeald/target_pool.py
+++ b/packages/toucandeald/src/toucandeald/target_pool.py
@@ -57,16 +57,13 @@
         return None
 
     def acquire(self) -> defer.Deferred:
-        """Return a Deferred of an idle connection.
+        """Return a Deferred of the next connection to become idle.
 
         Notes
         -----
         It fails with :class:`HttpLost`, `sent` being False, if the target
         accepts no connection.
         """
-        idle = self.take_idle()
-        if idle is not None:
-            return defer.succeed(idle)
         waiting = defer.Deferred()
         self._waiting.append(waiting)
         self._fill()
