--- a/packages/toucandeal/src/toucandeal/errors.py
+++ b/packages/toucandeal/src/toucandeal/errors.py
@@ -109,6 +109,16 @@
 
 
 class StoreUnavailable(ToucandealError):
-    """The platform's store gives no answer."""
+    """The platform's store gives no answer.
+
+    `uncertain` tells whether the call may still take effect.
+    """
 
     kind = 'store_unavailable'
+
+    def __init__(
+        self, problem: str, remedy: str, *, uncertain: bool = False
+    ) -> None:
+        """Keep whether the call may still take effect."""
+        super().__init__(problem, remedy)
+        self.uncertain = uncertain
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/permissions.py
@@ -0,0 +1,148 @@
+"""Whether a proxy may work with a group's primary now.
+
+A promotion begins with a record in the platform's store, and the proxy that
+carries it out waits until nobody else may work with the old primary. A proxy
+may do so only while it surely knows that no promotion has begun. It knows that
+
+- from the store: the records, as they stood when a read of them was sent,
+  stay a valid basis for :data:`VALID_S`; or
+- from its peers, while nobody reaches the store: each registered proxy stated
+  within the same time that it has begun none.
+
+A peer relays its own basis. The age of a relayed basis is counted from the
+time at which this proxy had sent the message that the peer echoes, so no two
+clocks are ever compared.
+"""
+
+import math
+from typing import NamedTuple
+
+from toucandeal.fleet import GroupRecord, ProxyRecord
+
+__all__ = [
+    'CONSENT_LIMIT_S',
+    'Permissions',
+    'SAFETY_S',
+    'VALID_S',
+    'basis_ends_at',
+    'lapsed_at',
+    'may_begin_promotion',
+    'may_work_with_primary',
+    'record_statement',
+    'record_store_read',
+]
+
+VALID_S = 1.0  # life of a basis; a promotion waits this long for the silent
+SAFETY_S = 0.1  # for clock rates that differ and for timers that fire late
+CONSENT_LIMIT_S = 15.0  # without the store; a newcomer waits as long
+
+
+class Statement(NamedTuple):
+    """When a peer surely had not begun a promotion, in this clock."""
+
+    incarnation: int
+    as_of: float
+
+
+class Permissions:
+    """What this proxy's permission rests on."""
+
+    def __init__(self, name: str) -> None:
+        """Start without any basis."""
+        self.name = name
+        self.store_as_of = -math.inf
+        self.registered: dict[str, ProxyRecord] = {}
+        self.registered_as_of = -math.inf
+        self.statements: dict[str, Statement] = {}
+        self.begun: set[str] = set()
+        self.joined_at = math.inf
+
+
+def record_store_read(
+    permissions: Permissions, as_of: float, proxies: dict[str, ProxyRecord]
+) -> None:
+    """Take in a read of the shared records that was sent at `as_of`."""
+    if as_of <= permissions.registered_as_of:
+        return
+    permissions.store_as_of = max(permissions.store_as_of, as_of)
+    permissions.registered = proxies
+    permissions.registered_as_of = as_of
+    if permissions.name in proxies and math.isinf(permissions.joined_at):
+        permissions.joined_at = as_of
+
+
+def record_statement(
+    permissions: Permissions, name: str, incarnation: int, as_of: float
+) -> None:
+    """Take in a peer's statement that it has begun no promotion."""
+    known = permissions.statements.get(name)
+    if known is None or known.incarnation != incarnation:
+        permissions.statements[name] = Statement(incarnation, as_of)
+    elif as_of > known.as_of:
+        permissions.statements[name] = known._replace(as_of=as_of)
+
+
+def _consent_as_of(permissions: Permissions, now: float) -> float:
+    """Return since when the oldest statement of a registered proxy holds."""
+    if now - permissions.registered_as_of > CONSENT_LIMIT_S:
+        return -math.inf
+    others = (name for name in permissions.registered if name != permissions.name)
+    return min(
+        (
+            permissions.statements[name].as_of
+            if name in permissions.statements
+            else -math.inf
+            for name in others
+        ),
+        default=now,
+    )
+
+
+def basis_ends_at(permissions: Permissions, now: float) -> float:
+    """Return when the permission ends that holds now."""
+    as_of = max(permissions.store_as_of, _consent_as_of(permissions, now))
+    return as_of + VALID_S - SAFETY_S
+
+
+def may_work_with_primary(
+    permissions: Permissions, record: GroupRecord | None, now: float
+) -> bool:
+    """Return whether primary work of a group may be sent or acknowledged."""
+    return (
+        record is not None
+        and not record.changing
+        and record.group not in permissions.begun
+        and now < basis_ends_at(permissions, now)
+    )
+
+
+def lapsed_at(began_at: float, last_stated_at: float) -> float:
+    """Return when the permission of every silent proxy has surely ended.
+
+    Parameters
+    ----------
+    began_at : float
+        When the store had confirmed the beginning of the promotion.
+    last_stated_at : float
+        When this proxy last stated that it had begun none.
+
+    Examples
+    --------
+    >>> lapsed_at(10.0, 9.5)
+    11.0
+    """
+    return max(began_at, last_stated_at) + VALID_S
+
+
+def may_begin_promotion(
+    permissions: Permissions, counted_by: set[str], now: float
+) -> bool:
+    """Return whether every proxy that may rest on consent asks this one.
+
+    A proxy that has joined only now is unknown to those that can't reach the
+    store; they may go on without its consent until theirs has run out.
+    """
+    others = set(permissions.registered) - {permissions.name}
+    return others <= counted_by or (
+        now - permissions.joined_at > CONSENT_LIMIT_S + VALID_S
+    )
--- a/packages/toucandeal/src/toucandeal/staleness.py
+++ b/packages/toucandeal/src/toucandeal/staleness.py
@@ -16,7 +16,14 @@
 
 from toucandeal.positions import LogPosition
 
-__all__ = ['History', 'Sample', 'covered_since', 'record', 'staleness_bound']
+__all__ = [
+    'History',
+    'Sample',
+    'covered_since',
+    'record',
+    'required_position',
+    'staleness_bound',
+]
 
 HISTORY_LENGTH = 2048  # samples a group
 
@@ -97,3 +104,24 @@
     0.5
     """
     return now - covered_since(history, LogPosition(*held))
+
+
+def required_position(history: History, since: float) -> LogPosition | None:
+    """Return a position that holds all that was confirmed before `since`.
+
+    The oldest sample that suffices is taken, since more replicas hold it.
+
+    Examples
+    --------
+    >>> history = [
+    ...     Sample(LogPosition(1, 5), 10.0), Sample(LogPosition(1, 8), 12.0)
+    ... ]
+    >>> required_position(history, 11.0)
+    LogPosition(term=1, index=8)
+    >>> required_position(history, 12.5) is None
+    True
+    """
+    place = bisect.bisect_left(
+        history, since, key=lambda sample: sample.sent_at
+    )
+    return history[place].seen if place < len(history) else None
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -0,0 +1,211 @@
+"""The composition root of a proxy that serves interactive sessions."""
+
+import contextlib
+import random
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from twisted.internet import defer
+from twisted.web import resource
+
+from toucandeal.fleet import ProxyRecord
+from toucandeal.fleet_tables import FleetTables
+from toucandeald.confirmations import Confirmations
+from toucandeald.fleet_settings import FleetSettings
+from toucandeald.fleet_shutdown import FleetShutdown
+from toucandeald.fleet_wire import FleetMessage
+from toucandeald.gossip import BEAT_S, Gossip
+from toucandeald.lifecycle import Lifecycle, LifecycleState, new_lifecycle
+from toucandeald.link_pool import OpenLink
+from toucandeald.logs import log_event
+from toucandeald.measures import Measures
+from toucandeald.peers import PeerSockets
+from toucandeald.primary_watch import PrimaryWatch
+from toucandeald.probes import Probe
+from toucandeald.promoter import Promoter
+from toucandeald.repeating import call_every
+from toucandeald.server_pools import ServerPools
+from toucandeald.session_service import SessionService
+from toucandeald.shared_state import SharedState, SharedTables
+from toucandeald.steady_clock import steady_seconds
+from toucandeald.stopping_work import StoppingWork
+from toucandeald.web import listen
+
+__all__ = ['FleetPorts', 'running_fleet', 'start_fleet']
+
+TICK_S = 0.05
+UPKEEP_S = 0.25  # of the pools, and of transactions that idle
+REPORT_WAIT_S = 0.3
+INCARNATIONS = 2_147_483_648
+
+
+class FleetPorts(NamedTuple):
+    """What an adapter provides."""
+
+    store: Any
+    open_link: OpenLink
+    listen: Callable[[Any, str, SessionService], defer.Deferred]
+    shared: SharedTables
+    probe_path: tuple[bytes, ...]
+    metrics_path: bytes
+
+
+class FleetParts(NamedTuple):
+    """What runs."""
+
+    tables: FleetTables
+    state: SharedState
+    gossip: Gossip
+    pools: ServerPools
+    service: SessionService
+    watch: PrimaryWatch
+    promoter: Promoter
+    measures: Measures
+    lifecycle: Lifecycle
+    lifecycle_state: LifecycleState
+    shutdown: FleetShutdown
+    ports: FleetPorts
+
+
+@contextlib.contextmanager
+def running_fleet(
+    reactor, settings: FleetSettings, ports: FleetPorts
+) -> Iterator[FleetParts]:
+    """Make the parts, and close the sockets between proxies at the end."""
+    own = ProxyRecord(
+        settings.name,
+        random.SystemRandom().randrange(1, INCARNATIONS),
+        settings.listen_peers,
+    )
+    tables = FleetTables(settings.name, settings.failure_domain)
+    measures = Measures()
+    state = SharedState(reactor, tables, ports.store, ports.shared, own)
+    gossip = Gossip(tables, state, own)
+    pools = ServerPools(reactor, tables, ports.open_link)
+    confirmations = Confirmations(reactor, tables)
+    confirmations.ask = lambda server: _ask(pools, server)
+    service = SessionService(reactor, tables, pools, confirmations, measures)
+    stopping = StoppingWork(reactor, tables, pools, service, gossip)
+    watch = PrimaryWatch(reactor, tables, ports.open_link)
+    promoter = Promoter(
+        reactor,
+        tables,
+        state,
+        ports.store,
+        gossip,
+        watch,
+        stopping,
+        ports.open_link,
+    )
+    pools.on_suspicion = watch.suspect
+    state.on_record = stopping.record_changed
+    gossip.on_begun = stopping.asked
+    gossip.on_stopped = promoter.peer_stopped
+    shutdown = FleetShutdown(
+        reactor, tables, state, gossip, service, settings.stop_timeout_s
+    )
+    lifecycle_state = LifecycleState(shutdown.begin, reactor.stop)
+    lifecycle = new_lifecycle(lifecycle_state)
+    shutdown.lifecycle = lifecycle
+    sockets = PeerSockets(
+        reactor, settings.listen_peers, gossip.received, FleetMessage
+    )
+    gossip.sockets = sockets
+    try:
+        yield FleetParts(
+            tables,
+            state,
+            gossip,
+            pools,
+            service,
+            watch,
+            promoter,
+            measures,
+            lifecycle,
+            lifecycle_state,
+            shutdown,
+            ports,
+        )
+    finally:
+        sockets.close()
+
+
+def _ask(pools: ServerPools, server) -> None:
+    asking = defer.ensureDeferred(pools.ask_report(server, REPORT_WAIT_S))
+    asking.addErrback(
+        lambda failure: log_event('fault', error=failure.getTraceback())
+    )
+
+
+async def start_fleet(
+    reactor, settings: FleetSettings, parts: FleetParts
+) -> None:
+    """Listen, then begin the repeated work.
+
+    Raises
+    ------
+    BadSetting
+        A port can't be used.
+    """
+    probe = Probe(lambda: parts.lifecycle_state.ready)
+    await listen(
+        reactor,
+        'the probe address',
+        settings.listen_probe,
+        _at_path(parts.ports.probe_path, probe),
+    )
+    await listen(
+        reactor,
+        'the metrics address',
+        settings.listen_metrics,
+        _at_path((parts.ports.metrics_path,), parts.measures.page),
+    )
+    parts.shutdown.listening = await parts.ports.listen(
+        reactor, settings.listen_sessions, parts.service
+    )
+    parts.state.start()
+    call_every(BEAT_S, parts.gossip.beat)
+    call_every(TICK_S, lambda: _tick(parts))
+    call_every(UPKEEP_S, lambda: _keep_up(parts))
+    log_event('started', **settings._asdict())
+
+
+def _at_path(path: tuple[bytes, ...], leaf: resource.Resource):
+    root = resource.Resource()
+    inner = root
+    for name in path[:-1]:
+        child = resource.Resource()
+        inner.putChild(name, child)
+        inner = child
+    inner.putChild(path[-1], leaf)
+    return root
+
+
+def _tick(parts: FleetParts) -> None:
+    now = steady_seconds()
+    parts.state.tick(now)
+    parts.watch.tick(now)
+    parts.promoter.tick(now)
+    if not parts.lifecycle_state.ready and _may_serve(parts.tables):
+        parts.lifecycle.started()
+
+
+def _may_serve(tables: FleetTables) -> bool:
+    return (
+        tables.configuration is not None
+        and bool(tables.servers)
+        and any(group.record for group in tables.groups.values())
+    )
+
+
+def _keep_up(parts: FleetParts) -> None:
+    parts.pools.keep_up()
+    parts.service.expire_transactions(steady_seconds())
+    measures = parts.measures
+    measures.gauge('sessions', len(parts.service.sessions))
+    measures.gauge('connections_opened', parts.pools.opened)
+    measures.gauge('store_calls', parts.ports.store.calls)
+    measures.gauge('peers', len(parts.tables.peers))
+    configuration = parts.tables.configuration
+    if configuration is not None:
+        measures.gauge('configuration_version', configuration.version)
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/fleet_shutdown.py
@@ -0,0 +1,78 @@
+"""The graceful stop of a proxy with open sessions.
+
+The balancer is given time to send new callers elsewhere; then sessions are
+closed as soon as they are between transactions, and the rest shortly before
+the process would be killed.
+"""
+
+from twisted.internet import defer
+
+from toucandeal.fleet_tables import FleetTables
+from toucandeald.gossip import Gossip
+from toucandeald.logs import log_event
+from toucandeald.repeating import call_every
+from toucandeald.session_service import SessionService
+from toucandeald.shared_state import SharedState
+from toucandeald.steady_clock import steady_seconds
+
+__all__ = ['FleetShutdown']
+
+NOTICE_S = 2.3  # for the balancer's two probes a second apart
+MARGIN_S = 0.7  # before the process would be killed
+CHECK_S = 0.05
+
+
+class FleetShutdown:
+    """Ends the sessions, then the process."""
+
+    def __init__(
+        self,
+        reactor,
+        tables: FleetTables,
+        state: SharedState,
+        gossip: Gossip,
+        service: SessionService,
+        timeout_s: float,
+    ) -> None:
+        """Take the parts to wait for."""
+        self.lifecycle = None
+        self.listening = None
+        self._reactor = reactor
+        self._tables = tables
+        self._state = state
+        self._gossip = gossip
+        self._service = service
+        self._timeout_s = timeout_s
+        self._began_at = 0.0
+        self._leaving = False
+
+    def begin(self) -> None:
+        """Stop taking part in promotions and wait for the sessions to end."""
+        self._began_at = steady_seconds()
+        self._tables.draining = True
+        self._gossip.beat()
+        log_event('draining', sessions=len(self._service.sessions))
+        call_every(CHECK_S, self._check)
+
+    def _check(self) -> None:
+        if self._leaving:
+            return
+        service = self._service
+        past_s = steady_seconds() - self._began_at
+        overdue = past_s >= self._timeout_s - MARGIN_S
+        if past_s >= min(NOTICE_S, self._timeout_s / 2):
+            self._close_idle()
+        if overdue or (service.closing_idle and not service.connections):
+            self._leaving = True
+            log_event('drained', sessions=len(service.sessions))
+            leaving = defer.ensureDeferred(self._state.leave())
+            leaving.addBoth(lambda _: self.lifecycle.drained())
+
+    def _close_idle(self) -> None:
+        service = self._service
+        if not service.closing_idle:
+            service.closing_idle = True
+            self.listening.stopListening()
+        for connection in list(service.connections):
+            if connection.idle:
+                service.went_idle(connection)
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -0,0 +1,95 @@
+"""The messages between proxies that serve interactive sessions."""
+
+import msgspec
+
+__all__ = [
+    'Beat',
+    'Begun',
+    'ConfigurationCopy',
+    'FleetMessage',
+    'RecordsCopy',
+    'RowCopy',
+    'ServersCopy',
+    'Stopped',
+]
+
+
+class Beat(msgspec.Struct, tag='b'):
+    """A proxy is alive, and what its permission rests on.
+
+    `sent_at` is in the sender's clock. `echo` is the `sent_at` of the last
+    beat received from the addressee's `echo_incarnation`, which came
+    `echo_held` seconds ago.
+    `basis_age` is the age of the sender's last read of the shared records,
+    and `states_none_begun` its statement that it has begun no promotion.
+    """
+
+    sender: str
+    incarnation: int
+    address: str
+    sent_at: float
+    echo: float
+    echo_incarnation: int
+    echo_held: float
+    draining: bool
+    counted: list[str]
+    basis_age: float
+    states_none_begun: bool
+    records_version: int
+    configuration_version: int
+    servers_version: int
+    primary_heard: dict[str, float]
+
+
+class RowCopy(msgspec.Struct, array_like=True):
+    """A row of a shared table."""
+
+    key: str
+    content: bytes
+    version: int
+
+
+class RecordsCopy(msgspec.Struct, tag='r'):
+    """The shared records, for a peer that has older ones."""
+
+    sender: str
+    rows: list[RowCopy]
+
+
+class ConfigurationCopy(msgspec.Struct, tag='c'):
+    """The configuration, for a peer that has an older one."""
+
+    sender: str
+    content: bytes
+
+
+class ServersCopy(msgspec.Struct, tag='s'):
+    """The list of servers at a version of the store."""
+
+    sender: str
+    version: int
+    rows: list[RowCopy]
+
+
+class Begun(msgspec.Struct, tag='p'):
+    """A promotion has begun; `record` is the group's new record."""
+
+    sender: str
+    address: str
+    record: RowCopy
+
+
+class Stopped(msgspec.Struct, tag='a'):
+    """The sender no longer works with the primary of `group`.
+
+    `version` is that of the record that it was told of.
+    """
+
+    sender: str
+    group: str
+    version: int
+
+
+FleetMessage = (
+    Beat | RecordsCopy | ConfigurationCopy | ServersCopy | Begun | Stopped
+)
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -0,0 +1,215 @@
+"""Beats between proxies: who lives, what they rest on, and what they lack."""
+
+from collections.abc import Callable, Iterable
+
+from toucandeal.fleet import ProxyRecord
+from toucandeal.fleet_tables import FleetTables, PeerView, server_load
+from toucandeal.permissions import record_statement
+from toucandeald.fleet_wire import (
+    Beat,
+    Begun,
+    ConfigurationCopy,
+    RecordsCopy,
+    RowCopy,
+    ServersCopy,
+    Stopped,
+)
+from toucandeald.logs import log_event
+from toucandeald.peers import PeerSockets
+from toucandeald.shared_state import SharedState
+from toucandeald.shared_store import SharedRow
+from toucandeald.steady_clock import steady_seconds
+
+__all__ = ['BEAT_S', 'Gossip']
+
+BEAT_S = 0.25
+PEER_SILENT_S = 1.0  # then it counts as not live
+PEER_FORGOTTEN_S = 30.0
+
+
+class Gossip:
+    """What passes between this proxy and its peers."""
+
+    def __init__(
+        self, tables: FleetTables, state: SharedState, own: ProxyRecord
+    ) -> None:
+        """Take the tables; `sockets` is set by the composition root."""
+        self.sockets: PeerSockets | None = None
+        self.on_begun: Callable[[str], None] = _ignore
+        self.on_stopped: Callable[[Stopped], None] = _ignore
+        self.last_stated_at = steady_seconds()
+        self._tables = tables
+        self._state = state
+        self._own = own
+        self._heard: dict[str, tuple[Beat, float]] = {}
+
+    @property
+    def own_address(self) -> str:
+        """Return where the peers reach this proxy."""
+        return self._own.address
+
+    def beat(self) -> None:
+        """Send a beat to all peers, and forget those silent for long."""
+        now = steady_seconds()
+        for name, peer in list(self._tables.peers.items()):
+            if now - peer.heard_at > PEER_FORGOTTEN_S:
+                self._tables.peers.pop(name)
+                self._heard.pop(name, None)
+        addresses = self.addresses()
+        self.sockets.keep_only(set(addresses.values()))
+        for name, address in addresses.items():
+            self._send_beat(name, address, now)
+
+    def addresses(self) -> dict[str, str]:
+        """Return the peers that are registered or heard, and where."""
+        registered = self._tables.permissions.registered.values()
+        known = {
+            peer.name: peer.address for peer in self._tables.peers.values()
+        } | {record.name: record.address for record in registered}
+        known.pop(self._own.name, None)
+        return known
+
+    def send(self, address: str, message) -> None:
+        """Send a message to one peer."""
+        self.sockets.send(address, message)
+
+    def received(self, message) -> None:
+        """Take in a message."""
+        match message:
+            case Beat():
+                self._take_beat(message)
+            case RecordsCopy():
+                self._state.take_record_rows(_rows(message.rows))
+            case ConfigurationCopy():
+                self._state.take_configuration(message.content)
+            case ServersCopy():
+                self._state.take_server_snapshot(
+                    _rows(message.rows), message.version
+                )
+            case Begun():
+                self._state.take_record_rows(_rows([message.record]))
+                self.on_begun(message)
+            case Stopped():
+                self.on_stopped(message)
+
+    def share_records(self) -> None:
+        """Send the records to all peers without waiting for their beats."""
+        copy = RecordsCopy(self._own.name, _copies(self._record_rows()))
+        for address in self.addresses().values():
+            self.send(address, copy)
+
+    def _record_rows(self) -> Iterable[SharedRow]:
+        return self._state.records.values()
+
+    def _send_beat(self, name: str, address: str, now: float) -> None:
+        heard = self._heard.get(name)
+        permissions = self._tables.permissions
+        none_begun = not permissions.begun
+        if none_begun:
+            self.last_stated_at = now
+        configuration = self._tables.configuration
+        self.send(
+            address,
+            Beat(
+                sender=self._own.name,
+                incarnation=self._own.incarnation,
+                address=self._own.address,
+                sent_at=now,
+                echo=heard[0].sent_at if heard else 0,
+                echo_incarnation=heard[0].incarnation if heard else 0,
+                echo_held=now - heard[1] if heard else 0,
+                draining=self._tables.draining,
+                counted=sorted(permissions.registered),
+                basis_age=min(now - permissions.store_as_of, PEER_FORGOTTEN_S),
+                states_none_begun=none_begun,
+                records_version=self._state.records_version,
+                configuration_version=(
+                    0 if configuration is None else configuration.version
+                ),
+                servers_version=self._state.servers_version,
+                primary_heard=self._primary_heard(now),
+            ),
+        )
+
+    def _primary_heard(self, now: float) -> dict[str, float]:
+        heard = {
+            group.name: now - server_load(
+                self._tables, group.record.primary
+            ).heard_at
+            for group in self._tables.groups.values()
+            if group.record is not None
+        }
+        return {
+            name: age for name, age in heard.items() if age < PEER_FORGOTTEN_S
+        }
+
+    def _take_beat(self, beat: Beat) -> None:
+        now = steady_seconds()
+        known = self._tables.peers.get(beat.sender)
+        if known is None or known.incarnation != beat.incarnation:
+            log_event(
+                'peer', name=beat.sender, incarnation=beat.incarnation
+            )
+        elif now - known.heard_at > PEER_SILENT_S:
+            log_event('peer regained', name=beat.sender)
+        self._heard[beat.sender] = (beat, now)
+        self._tables.peers[beat.sender] = PeerView(
+            beat.sender,
+            beat.incarnation,
+            beat.address,
+            now,
+            beat.draining,
+            frozenset(beat.counted),
+            {name: now - age for name, age in beat.primary_heard.items()},
+        )
+        if beat.echo_incarnation == self._own.incarnation:
+            self._rest_on(beat, beat.echo + beat.echo_held)
+        self._complete(beat)
+
+    def _rest_on(self, beat: Beat, sent_after: float) -> None:
+        """Take over what a peer rests on; it was sent after `sent_after`."""
+        permissions = self._tables.permissions
+        if beat.records_version <= self._state.records_version:
+            permissions.store_as_of = max(
+                permissions.store_as_of, sent_after - beat.basis_age
+            )
+        if beat.states_none_begun:
+            record_statement(
+                permissions, beat.sender, beat.incarnation, sent_after
+            )
+
+    def _complete(self, beat: Beat) -> None:
+        """Send a peer what it lacks."""
+        name = self._own.name
+        state = self._state
+        if beat.records_version < state.records_version:
+            self.send(
+                beat.address, RecordsCopy(name, _copies(self._record_rows()))
+            )
+        configuration = self._tables.configuration
+        if (
+            configuration is not None
+            and beat.configuration_version < configuration.version
+        ):
+            self.send(
+                beat.address,
+                ConfigurationCopy(name, state.configuration_content),
+            )
+        if beat.servers_version < state.servers_version:
+            rows = [row for row in state.servers.values() if not row.removed]
+            self.send(
+                beat.address,
+                ServersCopy(name, state.servers_version, _copies(rows)),
+            )
+
+
+def _copies(rows: Iterable[SharedRow]) -> list[RowCopy]:
+    return [RowCopy(row.key, row.content, row.version) for row in rows]
+
+
+def _rows(copies: Iterable[RowCopy]) -> list[SharedRow]:
+    return [SharedRow(copy.key, copy.content, copy.version) for copy in copies]
+
+
+def _ignore(message) -> None:
+    log_event('message not used', message=repr(message))
--- a/packages/toucandeald/src/toucandeald/logs.py
+++ b/packages/toucandeald/src/toucandeald/logs.py
@@ -2,16 +2,18 @@
 
 import functools
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import eliot
+import orjson
 from eliot import FileDestination
 from statsd import StatsClient
 
 from toucandeal.actions import Decision
 from toucandeald.http_client import host_port
 
-__all__ = ['Metrics', 'log_decision', 'log_event', 'open_log']
+__all__ = ['Metrics', 'log_decision', 'log_event', 'open_log', 'send_log_to']
 
 FLUSH_S = 0.1
 BUFFER_BYTES = 65536
@@ -46,6 +48,13 @@
     reactor.addSystemEventTrigger('after', 'shutdown', stream.flush)
 
 
+def send_log_to(add: Callable[[str], None]) -> None:
+    """Pass each line of the log, as JSON, to `add`."""
+    eliot.add_destinations(
+        lambda message: add(orjson.dumps(message, default=str).decode())
+    )
+
+
 @functools.cache
 def _task() -> eliot.Action:
     """Return the task that all lines of this process belong to.
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/measures.py
@@ -0,0 +1,63 @@
+"""Counters and latency histograms, served as text to whoever scrapes them."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.twisted import MetricsResource
+from twisted.web import resource
+
+__all__ = ['Measures']
+
+# Around the latency objectives of callers, 100 to 800 ms.
+_BUCKETS_S = (
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.6, 3.2
+)
+
+
+class Measures:
+    """What a proxy counts."""
+
+    def __init__(self) -> None:
+        """Register the metrics."""
+        self._registry = CollectorRegistry()
+        self._replies = Counter(
+            'toucandeal_replies',
+            'Replies to callers',
+            ['statement', 'outcome'],
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            'toucandeal_reply_seconds',
+            'From a whole request to its reply',
+            ['statement'],
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._events = Counter(
+            'toucandeal_events',
+            'Changes in what the process believes',
+            ['event'],
+            registry=self._registry,
+        )
+        self._gauges = Gauge(
+            'toucandeal_state',
+            'Sizes and versions that hold now',
+            ['name'],
+            registry=self._registry,
+        )
+
+    @property
+    def page(self) -> resource.Resource:
+        """Return the resource that serves the metrics."""
+        return MetricsResource(self._registry)
+
+    def reply(self, statement: str, outcome: str, seconds: float) -> None:
+        """Count a reply and its latency."""
+        self._replies.labels(statement, outcome).inc()
+        self._latency.labels(statement).observe(seconds)
+
+    def event(self, name: str) -> None:
+        """Count an event."""
+        self._events.labels(name).inc()
+
+    def gauge(self, name: str, reading: float) -> None:
+        """Set a gauge."""
+        self._gauges.labels(name).set(reading)
--- a/packages/toucandeald/src/toucandeald/peers.py
+++ b/packages/toucandeald/src/toucandeald/peers.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 import zmq
@@ -24,7 +25,6 @@
 SHOWN_BYTES = 200  # of a message that could not be taken in
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Message).decode
 
 
 @implementer(IReadDescriptor)
@@ -32,9 +32,14 @@
     """The sockets of a proxy."""
 
     def __init__(
-        self, reactor, address: str, received: Callable[[Message], None]
+        self,
+        reactor,
+        address: str,
+        received: Callable[[Any], None],
+        message_type: Any = Message,
     ) -> None:
         """Bind the receiving socket and pass each message to `received`."""
+        self._decode = msgspec.msgpack.Decoder(message_type).decode
         self._reactor = reactor
         self._received = received
         self._context = zmq.Context(io_threads=1)
@@ -75,14 +80,14 @@
 
     def _take(self, frame: bytes) -> None:
         try:
-            self._received(_decode(frame))
+            self._received(self._decode(frame))
         except Exception as error:  # noqa: BLE001
             # Twisted drops a reader that raises, and with it all peers.
             log_event(
                 'fault', error=repr(error), message=repr(frame[:SHOWN_BYTES])
             )
 
-    def send(self, address: str, message: Message) -> bool:
+    def send(self, address: str, message: msgspec.Struct) -> bool:
         """Send a message to a peer; return whether it was taken."""
         frame = _encode(message)
         try:
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -0,0 +1,121 @@
+"""Notices that a primary gives no answer any more.
+
+Evidence comes from the statements themselves; only when one is suspicious is
+the server asked, over a connection of its own.
+"""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from twisted.internet import defer
+
+from toucandeal.fleet import Server
+from toucandeal.fleet_tables import FleetTables, group_state, server_load
+from toucandeald.link_pool import OpenLink
+from toucandeald.logs import log_event
+from toucandeald.session_messages import (
+    AnswerKind,
+    ReportStatus,
+    ServerAnswer,
+)
+from toucandeald.shared_state import pause
+from toucandeald.steady_clock import steady_seconds
+
+__all__ = ['PrimaryWatch']
+
+SILENCE_S = 0.2  # of a server that owes answers, before it is asked
+CHECK_TIMEOUT_S = 0.3  # a handshake and a report, of a server in order
+CHECK_AGAIN_S = 0.1
+
+
+class PrimaryWatch:
+    """Checks of the servers that are recorded as primaries."""
+
+    def __init__(self, clock, tables: FleetTables, open_link: OpenLink) -> None:
+        """Take what opens a connection."""
+        self.deposed: dict[str, str] = {}
+        self._clock = clock
+        self._tables = tables
+        self._open_link = open_link
+        self._checking: set[str] = set()
+
+    def suspect(self, server: Server, reason: str) -> None:
+        """Check a server if it is its group's primary."""
+        record = group_state(self._tables, server.group).record
+        is_primary = record is not None and record.primary == server.name
+        if not is_primary or server.name in self._checking:
+            return
+        log_event('suspected', server=server.name, reason=reason)
+        self._checking.add(server.name)
+        self._run(self._check(server))
+
+    def tick(self, now: float) -> None:
+        """Suspect the primaries that owe answers and are silent."""
+        for group in list(self._tables.groups.values()):
+            record = group.record
+            server = (
+                None
+                if record is None
+                else self._tables.servers.get(record.primary)
+            )
+            if server is None:
+                continue
+            load = server_load(self._tables, server.name)
+            since = max(load.heard_at, load.busy_since)
+            if load.in_flight and now - since > SILENCE_S:
+                self.suspect(server, 'it owes answers and is silent')
+
+    async def _check(self, server: Server) -> None:
+        began_at = steady_seconds()
+        try:
+            while await self._is_silent(server):
+                load = server_load(self._tables, server.name)
+                if load.unreachable_since is None:
+                    load.unreachable_since = began_at
+                    log_event('unreachable', server=server.name)
+                if not self._is_primary(server):
+                    break
+                await pause(self._clock, CHECK_AGAIN_S)
+        finally:
+            self._checking.discard(server.name)
+
+    def _is_primary(self, server: Server) -> bool:
+        record = group_state(self._tables, server.group).record
+        return record is not None and record.primary == server.name
+
+    async def _is_silent(self, server: Server) -> bool:
+        opened = await self._open_link(server, CHECK_TIMEOUT_S)
+        load = server_load(self._tables, server.name)
+        if isinstance(opened, ServerAnswer):
+            if opened.kind in {AnswerKind.LOST, AnswerKind.WRONG_SERVER}:
+                return True
+        else:
+            await self._ask_role(server, opened)
+        load.heard_at = steady_seconds()
+        load.unreachable_since = None
+        return False
+
+    async def _ask_role(self, server: Server, link) -> None:
+        answer = await link.call(ReportStatus(), CHECK_TIMEOUT_S)
+        report = link.report(answer)
+        link.close()
+        if report is None:
+            return
+        if report.is_primary:
+            self.deposed.pop(server.group, None)
+        else:
+            self.deposed[server.group] = server.name
+            log_event('primary has stepped down', server=server.name)
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        running = defer.ensureDeferred(work)
+        fault: Callable = _fault
+        running.addErrback(fault)
+
+
+def _fault(failure) -> None:
+    log_event(
+        'fault',
+        error=failure.getErrorMessage(),
+        trace=failure.getTraceback(),
+    )
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -0,0 +1,558 @@
+"""Carries out promotions, one step after another.
+
+The order of the steps keeps the promises: first the record that a promotion
+has begun, then the word of every proxy that it has stopped, or the end of its
+permission, then the choice of the replica that has received the most, then
+the order, and last the record of the new primary.
+"""
+
+import secrets
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from toucandeal.errors import StoreUnavailable
+from toucandeal.fleet import GroupRecord, Server
+from toucandeal.fleet_tables import FleetTables, group_state, server_load
+from toucandeal.permissions import lapsed_at, may_begin_promotion
+from toucandeal.promotion import (
+    HOLDER_S,
+    Reported,
+    Trigger,
+    best_replica,
+    holder_rank,
+    promotion_trigger,
+    replicas_of,
+)
+from toucandeald.fleet_wire import Begun, RowCopy, Stopped
+from toucandeald.gossip import Gossip
+from toucandeald.link_pool import OpenLink
+from toucandeald.logs import log_event
+from toucandeald.primary_watch import PrimaryWatch
+from toucandeald.session_messages import (
+    AnswerKind,
+    ReportStatus,
+    ServerAnswer,
+    StepDown,
+)
+from toucandeald.shared_records import (
+    DUTY_KEY,
+    RECORDS_TABLE,
+    encode_duty,
+    encode_group,
+    group_key,
+)
+from toucandeald.shared_state import SharedState, pause
+from toucandeald.shared_store import (
+    Conflict,
+    Precondition,
+    PromoteAnswer,
+    Put,
+)
+from toucandeald.steady_clock import steady_seconds
+from toucandeald.stopping_work import StoppingWork
+
+__all__ = ['Promoter']
+
+ASK_S = 0.1  # between requests that the peers stop
+LOOK_S = 0.005  # between looks at the answers of the peers
+STEP_S = 0.05  # between looks at what a step waits for
+REPORT_TIMEOUT_S = 0.3  # a handshake and a report, of a server in order
+REPORTS_S = 0.6  # for all replicas to report; then those that have count
+CATCH_UP_S = 1.5  # for a replica to receive all, where the primary is in order
+ORDER_TIMEOUT_S = 1.5  # for an answer to the order to promote
+ORDER_MARGIN_S = 0.3  # of the right to promote that must be left for an order
+EFFECT_S = 3.0  # for an accepted order to take effect, then it is repeated
+EFFECT_LOOK_S = 0.15
+AGAIN_S = 0.1  # after a call that the store did not answer
+ABANDONED_S = 0.3  # before a promotion that can't go on is tried again
+RESUME_S = 0.5  # beyond a holder's time before another one goes on
+
+
+class Right(NamedTuple):
+    """The right to promote, and until when it is surely this proxy's."""
+
+    token: int
+    until: float
+    record: GroupRecord
+
+
+class Abandoned(Exception):
+    """The promotion can't go on; the reason is in the message."""
+
+
+class Promoter:
+    """The promotions that this proxy carries out, one at a time."""
+
+    def __init__(
+        self,
+        clock,
+        tables: FleetTables,
+        state: SharedState,
+        store,
+        gossip: Gossip,
+        watch: PrimaryWatch,
+        stopping: StoppingWork,
+        open_link: OpenLink,
+    ) -> None:
+        """Take the parts that the steps need."""
+        self._stopping = stopping
+        self._clock = clock
+        self._tables = tables
+        self._state = state
+        self._store = store
+        self._gossip = gossip
+        self._watch = watch
+        self._open_link = open_link
+        self._running = False
+        self._wanted_since: dict[str, float] = {}
+        self._stopped: dict[str, dict[str, int]] = {}
+        self._resumed: dict[str, bool] = {}
+
+    def tick(self, now: float) -> None:
+        """Start what is due."""
+        if self._running or not self._state.store_answers:
+            return
+        for name in self._group_names():
+            trigger = self._trigger(name, now)
+            if trigger is None:
+                self._wanted_since.pop(name, None)
+                continue
+            since = self._wanted_since.setdefault(name, now)
+            if now - since >= holder_rank(self._tables, name, now):
+                self._wanted_since.pop(name)
+                self._start(name, trigger)
+                return
+
+    def peer_stopped(self, message: Stopped) -> None:
+        """Take a peer's word that it works with the primary no longer."""
+        versions = self._stopped.setdefault(message.group, {})
+        versions[message.sender] = max(
+            message.version, versions.get(message.sender, 0)
+        )
+
+    def _group_names(self) -> list[str]:
+        configuration = self._tables.configuration
+        return [] if configuration is None else sorted(configuration.groups)
+
+    def _trigger(self, name: str, now: float) -> Trigger | None:
+        record = group_state(self._tables, name).record
+        if self._tables.draining:
+            return None
+        if record is None:
+            if self._state.records_read and self._claims(name):
+                return Trigger('no primary is recorded', planned=False)
+            return None
+        if record.changing and record.holder == self._tables.name:
+            return Trigger('a promotion was left unfinished', record.planned)
+        if record.changing:
+            age = now - self._state.record_seen_at.get(name, now)
+            duty_age = now - self._state.duty_seen_at
+            if min(age, duty_age) > HOLDER_S + RESUME_S:
+                return Trigger('a promotion was left unfinished', record.planned)
+            return None
+        if self._watch.deposed.get(name) == record.primary:
+            return Trigger('the primary has stepped down', planned=False)
+        return promotion_trigger(self._tables, name, now)
+
+    def _claims(self, name: str) -> list[Server]:
+        return [
+            server
+            for server in self._tables.servers.values()
+            if server.group == name and server.claims_primary
+        ]
+
+    def _start(self, name: str, trigger: Trigger) -> None:
+        self._running = True
+        log_event(
+            'promotion', group=name, reason=trigger.reason,
+            planned=trigger.planned, step='wanted',
+        )
+        running = defer.ensureDeferred(self._carry_out(name, trigger))
+        running.addErrback(_fault)
+        running.addBoth(lambda _: self._ended())
+
+    def _ended(self) -> None:
+        self._running = False
+
+    async def _carry_out(self, name: str, trigger: Trigger) -> None:
+        try:
+            if group_state(self._tables, name).record is None:
+                await self._record_first(name)
+            else:
+                await self._promote(name, trigger)
+        except StoreUnavailable as error:
+            log_event('promotion', group=name, step='store lost',
+                      reason=str(error))
+            await pause(self._clock, AGAIN_S)
+        except Abandoned as error:
+            log_event('promotion', group=name, step='abandoned',
+                      reason=str(error))
+            await pause(self._clock, ABANDONED_S)
+
+    async def _record_first(self, name: str) -> None:
+        """Record the server that leads a group which has no record."""
+        claims = self._claims(name)
+        if len(claims) != 1:
+            reports = await self._reports(claims)
+            claims = [
+                server
+                for server in claims
+                if server.name in reports
+                and reports[server.name].is_primary
+                and reports[server.name].term
+                == max(report.term for report in reports.values())
+            ]
+        if len(claims) != 1:
+            raise Abandoned('no single server leads the group')
+        record = GroupRecord(name, claims[0].name)
+        await self._store.transact(
+            [Precondition(RECORDS_TABLE, group_key(name), 0)],
+            [Put(RECORDS_TABLE, group_key(name), encode_group(record))],
+        )
+        await self._state.read_records()
+
+    async def _promote(self, name: str, trigger: Trigger) -> None:
+        permissions = self._tables.permissions
+        counted_by = {
+            peer.name
+            for peer in self._tables.peers.values()
+            if self._tables.name in peer.counted
+        }
+        now = steady_seconds()
+        if not may_begin_promotion(permissions, counted_by, now):
+            raise Abandoned('this proxy has joined only now')
+        permissions.begun.add(name)
+        try:
+            right = await self._begin(name, trigger)
+            await self._wait_for_peers(right)
+            await self._choose_and_order(name, right, trigger)
+        finally:
+            permissions.begun.discard(name)
+
+    async def _begin(self, name: str, trigger: Trigger) -> Right:
+        """Record that the promotion has begun."""
+        await self._read()
+        record = group_state(self._tables, name).record
+        duty = self._state.duty
+        now = steady_seconds()
+        if duty.holder not in {'', self._tables.name} and (
+            now - self._state.duty_seen_at < HOLDER_S + RESUME_S
+        ):
+            raise Abandoned(f'{duty.holder} carries out a promotion')
+        if record is None or self._trigger(name, now) is None:
+            raise Abandoned('the group is in order again')
+        self._resumed[name] = record.changing
+        begun = record._replace(
+            changing=True,
+            planned=trigger.planned,
+            holder=self._tables.name,
+        )
+        return await self._take_right(begun, record.version, duty.version)
+
+    async def _take_right(
+        self, record: GroupRecord, version: int, duty_version: int
+    ) -> Right:
+        """Write the record together with the right to promote.
+
+        A call whose answer was lost may still take effect, so it is repeated
+        under the same preconditions until one of the two is certain.
+        """
+        nonce = secrets.token_hex(8)
+        preconditions = [
+            Precondition(RECORDS_TABLE, DUTY_KEY, duty_version),
+            Precondition(RECORDS_TABLE, group_key(record.group), version),
+        ]
+        puts = [
+            Put(RECORDS_TABLE, DUTY_KEY, encode_duty(self._tables.name, nonce)),
+            Put(RECORDS_TABLE, group_key(record.group), encode_group(record)),
+        ]
+        uncertain = False
+        # Dated by the first call: any of the calls may be the one that won.
+        sent_at = steady_seconds()
+        while True:
+            try:
+                outcome = await self._store.transact(preconditions, puts)
+            except StoreUnavailable as error:
+                uncertain = uncertain or error.uncertain
+                if not uncertain:
+                    raise
+                log_event('promotion', group=record.group, step='uncertain',
+                          reason=str(error))
+                await pause(self._clock, AGAIN_S)
+                continue
+            break
+        await self._read()
+        if isinstance(outcome, Conflict) and self._state.duty.nonce != nonce:
+            raise Abandoned('another proxy was faster')
+        token = self._state.duty.version
+        held = group_state(self._tables, record.group).record
+        log_event('promotion', group=record.group, step='begun', token=token)
+        return Right(token, sent_at + HOLDER_S, held)
+
+    async def _read(self) -> None:
+        """Read the records; give up where the store does not answer."""
+        if not await self._state.read_records():
+            raise Abandoned('the store gives no answer')
+
+    async def _wait_for_peers(self, right: Right) -> None:
+        """Wait until no other proxy works with the old primary."""
+        record = right.record
+        name = record.group
+        lapse = lapsed_at(steady_seconds(), self._gossip.last_stated_at)
+        row = RowCopy(
+            group_key(name), encode_group(record), record.version
+        )
+        own = self._gossip.own_address
+        asked_at = 0.0
+        while True:
+            now = steady_seconds()
+            missing = self._not_stopped(record)
+            if not missing or now >= lapse:
+                break
+            if now - asked_at >= ASK_S:
+                asked_at = now
+                for peer, address in self._gossip.addresses().items():
+                    if peer in missing:
+                        self._gossip.send(
+                            address, Begun(self._tables.name, own, row)
+                        )
+            await pause(self._clock, LOOK_S)
+        log_event('promotion', group=name, step='peers stopped',
+                  silent=sorted(missing))
+
+    def _not_stopped(self, record: GroupRecord) -> set[str]:
+        versions = self._stopped.get(record.group, {})
+        others = set(self._tables.permissions.registered)
+        stopped = {
+            name
+            for name, version in versions.items()
+            if version >= record.version
+        }
+        own = self._tables.name
+        if self._stopping.stopped.get(record.group, 0) >= record.version:
+            stopped.add(own)
+        return (others | {own}) - stopped
+
+    async def _choose_and_order(
+        self, name: str, right: Right, trigger: Trigger
+    ) -> None:
+        record = right.record
+        leader = await self._present_leader(record)
+        if leader is not None and leader[0] != record.primary:
+            log_event('promotion', group=name, step='found', server=leader[0])
+            await self._settle(right, leader[0], leader[1])
+            return
+        chosen, term = await self._choose(record, planned=trigger.planned)
+        if chosen is None:
+            await self._settle(right, record.primary, record.term)
+            raise Abandoned('no replica can take over')
+        right = await self._order(right, chosen)
+        term = await self._wait_for_effect(right, chosen, term)
+        await self._settle(right, chosen.name, term)
+
+    async def _present_leader(
+        self, record: GroupRecord
+    ) -> tuple[str, int] | None:
+        """Return the server that leads in the highest term, and its term."""
+        if not self._may_have_been_replaced(record):
+            return None
+        servers = [
+            server
+            for server in self._tables.servers.values()
+            if server.group == record.group
+        ]
+        reports = await self._reports(servers)
+        leading = {
+            name: report.term
+            for name, report in reports.items()
+            if report.is_primary
+        }
+        newest = max((report.term for report in reports.values()), default=0)
+        return next(
+            (
+                (name, term)
+                for name, term in leading.items()
+                if term == newest
+            ),
+            None,
+        )
+
+    def _may_have_been_replaced(self, record: GroupRecord) -> bool:
+        deposed = self._watch.deposed.get(record.group) == record.primary
+        claimed = any(
+            server.name != record.primary
+            for server in self._claims(record.group)
+        )
+        return deposed or claimed or self._resumed.get(record.group, False)
+
+    async def _choose(
+        self, record: GroupRecord, *, planned: bool
+    ) -> tuple[Server | None, int]:
+        """Return the replica that takes over and the highest known term."""
+        began_at = steady_seconds()
+        limit_s = CATCH_UP_S if planned else REPORTS_S
+        while True:
+            replicas = replicas_of(self._tables, record)
+            reports = await self._reports(replicas)
+            late = steady_seconds() - began_at >= limit_s
+            primary = None
+            if planned:
+                primary = await self._primary_report(record)
+            best = best_replica(reports)
+            caught_up = primary is None or (
+                best is not None and reports[best].received >= primary.received
+            )
+            complete = len(reports) == len(replicas)
+            if best is not None and caught_up and (complete or late):
+                break
+            if late:
+                return None, 0
+            await pause(self._clock, STEP_S)
+        term = max(
+            report.term
+            for report in (*reports.values(), *filter(None, [primary]))
+        )
+        if planned:
+            await self._step_down(record, term + 1)
+        log_event('promotion', group=record.group, step='chosen', server=best,
+                  received=reports[best].received, term=term)
+        return self._tables.servers.get(best), term
+
+    async def _primary_report(self, record: GroupRecord) -> Reported | None:
+        primary = self._tables.servers.get(record.primary)
+        if primary is None:
+            return None
+        return (await self._reports([primary])).get(primary.name)
+
+    async def _step_down(self, record: GroupRecord, term: int) -> None:
+        primary = self._tables.servers.get(record.primary)
+        if primary is not None:
+            answer = await self._ask(primary, StepDown(term))
+            log_event('promotion', group=record.group, step='stepped down',
+                      server=primary.name, answer=answer.kind.value)
+
+    async def _order(self, right: Right, chosen: Server) -> Right:
+        """Send the order until it is accepted."""
+        record = right.record
+        while True:
+            if steady_seconds() > right.until - ORDER_MARGIN_S:
+                right = await self._renew(right)
+            try:
+                answer = await self._store.promote(
+                    record.group,
+                    chosen.name,
+                    self._tables.name,
+                    right.token,
+                    ORDER_TIMEOUT_S,
+                )
+            except StoreUnavailable as error:
+                log_event('promotion', group=record.group, step='no answer',
+                          reason=str(error))
+                await pause(self._clock, AGAIN_S)
+                continue
+            log_event('promotion', group=record.group, step='ordered',
+                      server=chosen.name, answer=answer.value)
+            if answer is PromoteAnswer.NOT_RUNNING:
+                raise Abandoned(f'{chosen.name} does not run')
+            return right
+
+    async def _renew(self, right: Right) -> Right:
+        record = right.record
+        if self._state.duty.version != right.token:
+            raise Abandoned('another proxy has the right to promote')
+        return await self._take_right(
+            record, record.version, self._state.duty.version
+        )
+
+    async def _wait_for_effect(
+        self, right: Right, chosen: Server, term: int
+    ) -> int:
+        """Wait until the chosen server leads, and return its term."""
+        until = steady_seconds() + EFFECT_S
+        while steady_seconds() < until:
+            report = (await self._reports([chosen])).get(chosen.name)
+            if report is not None and report.is_primary:
+                return report.term
+            await pause(self._clock, EFFECT_LOOK_S)
+        raise Abandoned(f'{chosen.name} does not lead after the order')
+
+    async def _settle(self, right: Right, primary: str, term: int) -> None:
+        """Record the primary that leads now and give the right back."""
+        record = right.record
+        settled = GroupRecord(record.group, primary, term)
+        while True:
+            try:
+                outcome = await self._store.transact(
+                    [
+                        Precondition(
+                            RECORDS_TABLE,
+                            group_key(record.group),
+                            record.version,
+                        )
+                    ],
+                    [
+                        Put(
+                            RECORDS_TABLE,
+                            group_key(record.group),
+                            encode_group(settled),
+                        ),
+                        Put(RECORDS_TABLE, DUTY_KEY, encode_duty('', '')),
+                    ],
+                )
+            except StoreUnavailable as error:
+                log_event('promotion', group=record.group, step='unsettled',
+                          reason=str(error))
+                await pause(self._clock, AGAIN_S)
+                continue
+            break
+        self._watch.deposed.pop(record.group, None)
+        await self._state.read_records()
+        self._gossip.share_records()
+        log_event('promotion', group=record.group, step='settled',
+                  server=primary, term=term,
+                  first=not isinstance(outcome, Conflict))
+
+    async def _reports(self, servers: list[Server]) -> dict[str, Reported]:
+        """Return the reports of the servers that answer."""
+        answers = await defer.gatherResults(
+            [
+                defer.ensureDeferred(self._report(server))
+                for server in servers
+            ]
+        )
+        return {
+            server.name: report
+            for server, report in zip(servers, answers, strict=True)
+            if report is not None
+        }
+
+    async def _report(self, server: Server) -> Reported | None:
+        link = await self._open_link(server, REPORT_TIMEOUT_S)
+        if isinstance(link, ServerAnswer):
+            return None
+        answer = await link.call(ReportStatus(), REPORT_TIMEOUT_S)
+        link.close()
+        if answer.kind is not AnswerKind.COMPLETED:
+            return None
+        report = link.report(answer)
+        if report is not None:
+            load = server_load(self._tables, server.name)
+            load.received = max(load.received, report.received)
+        return report
+
+    async def _ask(self, server: Server, request) -> ServerAnswer:
+        link = await self._open_link(server, REPORT_TIMEOUT_S)
+        if isinstance(link, ServerAnswer):
+            return link
+        answer = await link.call(request, REPORT_TIMEOUT_S)
+        link.close()
+        return answer
+
+
+def _fault(failure) -> None:
+    log_event(
+        'fault',
+        error=failure.getErrorMessage(),
+        trace=failure.getTraceback(),
+    )
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/session_messages.py
@@ -0,0 +1,134 @@
+"""Messages between the sessions and the adapter's connections."""
+
+import enum
+from typing import NamedTuple
+
+from toucandeal.caller_sessions import (
+    PreparedShape,
+    PrepareShape,
+    ResetSession,
+    SetValue,
+)
+from toucandeal.fleet import Statement
+from toucandeal.positions import LogPosition
+
+__all__ = [
+    'AnswerKind',
+    'BeginTransaction',
+    'CallerReply',
+    'Forward',
+    'LinkRequest',
+    'ReplyKind',
+    'ReportStatus',
+    'RollBack',
+    'ServerAnswer',
+    'StepDown',
+]
+
+
+class ReplyKind(enum.Enum):
+    """What a caller is told.
+
+    ``REFUSED`` and ``ABORTED`` promise that nothing of the operation was
+    kept; ``UNKNOWN`` and ``TIMED_OUT`` promise nothing.
+    """
+
+    OPENED = 'opened'
+    DONE = 'done'
+    REFUSED = 'refused'
+    ABORTED = 'aborted'
+    UNKNOWN = 'unknown'
+    FAILED = 'failed'
+    TIMED_OUT = 'timed out'
+    UNKNOWN_DATABASE = 'unknown database'
+    UNKNOWN_STATEMENT = 'unknown statement'
+    MALFORMED = 'malformed'
+
+
+class CallerReply(NamedTuple):
+    """The whole answer to one request of a caller.
+
+    `state` is the session's, ``idle``, ``open`` or ``failed``.
+    """
+
+    kind: ReplyKind
+    state: str = 'idle'
+    position: LogPosition | None = None
+    rows: tuple[str, ...] = ()
+    signature: str = ''
+    reason: str = ''
+    retry_after_s: float = 0
+
+
+class AnswerKind(enum.Enum):
+    """What a server said; up to ``ABORTED``, nothing ran or was kept."""
+
+    COMPLETED = 'completed'
+    NOT_RUN = 'not run'
+    UNKNOWN_STATEMENT = 'unknown statement'
+    LAGGING = 'lagging'
+    READ_ONLY = 'read only'
+    WRONG_SERVER = 'wrong server'
+    TOO_MANY_CONNECTIONS = 'too many connections'
+    MALFORMED = 'malformed'
+    ABORTED = 'aborted'
+    FAILED = 'failed'
+    TIMED_OUT = 'timed out'
+    LOST = 'lost'
+
+
+class ServerAnswer(NamedTuple):
+    """A server's whole answer, or that none came (``LOST``)."""
+
+    kind: AnswerKind
+    rows: list[str]
+    signature: str
+    reason: str
+    in_transaction: bool = False
+    position: LogPosition | None = None
+
+
+class Forward(NamedTuple):
+    """A caller's statement, sent on under its own identity.
+
+    `prepared` is the shape behind a prepared statement; `after` the position
+    that the server must hold.
+    """
+
+    identity: str
+    statement: Statement
+    prepared: PreparedShape | None = None
+    after: LogPosition | None = None
+
+
+class BeginTransaction(NamedTuple):
+    """Begin a transaction on the connection."""
+
+    read_only: bool
+    after: LogPosition | None = None
+
+
+class RollBack(NamedTuple):
+    """End the connection's transaction."""
+
+
+class ReportStatus(NamedTuple):
+    """Ask the server for its report of itself."""
+
+
+class StepDown(NamedTuple):
+    """Ask a primary of a lower term than `term` to be a replica."""
+
+    term: int
+
+
+LinkRequest = (
+    Forward
+    | BeginTransaction
+    | RollBack
+    | ReportStatus
+    | StepDown
+    | SetValue
+    | PrepareShape
+    | ResetSession
+)
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/shared_store.py
@@ -0,0 +1,78 @@
+"""What the daemon asks of the store that all proxies share."""
+
+import enum
+from typing import NamedTuple
+
+__all__ = [
+    'Changes',
+    'Committed',
+    'Conflict',
+    'HistoryGone',
+    'Precondition',
+    'PromoteAnswer',
+    'Put',
+    'SharedRow',
+    'Snapshot',
+]
+
+
+class SharedRow(NamedTuple):
+    """A row; `version` rises with each transaction of the store."""
+
+    key: str
+    content: bytes
+    version: int
+    removed: bool = False
+
+
+class Snapshot(NamedTuple):
+    """All rows of a table at one version of the store."""
+
+    rows: list[SharedRow]
+    version: int
+
+
+class Changes(NamedTuple):
+    """Rows that changed, and the version to continue from."""
+
+    rows: list[SharedRow]
+    version: int
+
+
+class HistoryGone(NamedTuple):
+    """The store no longer has the changes that were asked for."""
+
+
+class Precondition(NamedTuple):
+    """A row and the version that it must have; 0 if it must not exist."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Put(NamedTuple):
+    """A row to write."""
+
+    table: str
+    key: str
+    content: bytes
+
+
+class Committed(NamedTuple):
+    """The transaction took effect, at this version."""
+
+    version: int
+
+
+class Conflict(NamedTuple):
+    """Nothing was written; `rows` are the rows of the preconditions."""
+
+    rows: list[SharedRow]
+
+
+class PromoteAnswer(enum.Enum):
+    """What became of an order to promote."""
+
+    ACCEPTED = 'accepted'
+    NOT_RUNNING = 'not running'
