Go on without machines that are gone while the store is away; handle refused connections

Peers now mark a proxy that they have not heard for 2.5 s as silent; it counts again once it has registered. Cause 2: a log field named kind clashed with log_event's own parameter, so every refused connection ended in an exception (found by test_another_server_leads_after_the_primary_failed). Cause 3 (found by the state machine in test_permissions): a peer's word was taken although it knew newer records, so a proxy could go on with a primary that had been superseded. The word of such a peer now counts for nothing. Cause 4 (test_a_deaf_replica_serves_no_stale_read): only one replica was ever asked to confirm a write.

--- a/Makefile
+++ b/Makefile
@@ -7,24 +7,24 @@
 
 .PHONY: demo test lint format bench bench-quick clean
 
-$(VENV)/installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install -q -c constraints.txt setuptools wheel
 	$(BIN)/python -m pip install -q -c constraints.txt $(TOOLS)
-	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation $(PACKAGES:%=-e packages/%)
+	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation $(PACKAGES:%=-e packages/%) -e platform
 	touch $@
 
 demo: $(VENV)/installed
 	$(BIN)/python -m toucandeal_standins.demo --seed $(SEED)
 
 lint: $(VENV)/installed
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
-	$(BIN)/flake8 packages
+	$(BIN)/ruff format --check packages platform
+	$(BIN)/ruff check packages platform
+	$(BIN)/flake8 packages platform
 
 format: $(VENV)/installed
-	$(BIN)/ruff check --fix packages
-	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages platform
+	$(BIN)/ruff format packages platform
 
 test: lint
 	$(BIN)/python -m pytest
--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -154,7 +154,11 @@
                 for name, setting in values.items()
                 if kept.get(name) != setting
             ),
-            (PrepareShape(shape) for shape in shapes if shape not in known),
+            (
+                PrepareShape(shape)
+                for shape in dict.fromkeys(shapes)
+                if shape not in known
+            ),
         )
     )
 
--- a/packages/toucandeal/src/toucandeal/fleet.py
+++ b/packages/toucandeal/src/toucandeal/fleet.py
@@ -108,11 +108,17 @@
 
 
 class ProxyRecord(NamedTuple):
-    """A registered proxy and where its peers reach it."""
+    """A registered proxy and where its peers reach it.
+
+    A peer has marked it `silent` if it was not heard for some time. Nobody
+    rests on the word of a silent proxy, and nobody gives it anything to rest
+    on, until it has registered anew.
+    """
 
     name: str
     incarnation: int
     address: str
+    silent: bool = False
     version: int = 0
 
 
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -148,10 +148,10 @@
 
 def primary_of(tables: FleetTables, name: str, now: float) -> Server | None:
     """Return the primary that may be worked with now, if there is one."""
-    record_ = group_state(tables, name).record
-    if not may_work_with_primary(tables.permissions, record_, now):
+    current = group_state(tables, name).record
+    if not may_work_with_primary(tables.permissions, current, now):
         return None
-    return tables.servers.get(record_.primary)
+    return tables.servers.get(current.primary)
 
 
 def record_position(
@@ -181,9 +181,7 @@
     record(group.history, Sample(position, sent_at))
 
 
-def required_since_term(
-    group: GroupState, seen: LogPosition
-) -> LogPosition:
+def required_since_term(group: GroupState, seen: LogPosition) -> LogPosition:
     """Return what a session's position asks for in the present term.
 
     What an earlier term confirmed and a promotion kept stands below the
@@ -203,7 +201,7 @@
         for server in tables.servers.values()
         if server.group == group and server.name != primary
     ]
+    received = [server_load(tables, server.name).received for server in others]
     return not others or any(
-        position.term == load.received.term and load.received >= position
-        for load in (server_load(tables, server.name) for server in others)
+        held.term == position.term and held >= position for held in received
     )
--- a/packages/toucandeal/src/toucandeal/permissions.py
+++ b/packages/toucandeal/src/toucandeal/permissions.py
@@ -21,20 +21,23 @@
 
 __all__ = [
     'CONSENT_LIMIT_S',
+    'PeerWord',
     'Permissions',
     'SAFETY_S',
     'VALID_S',
     'basis_ends_at',
+    'counted_proxies',
     'lapsed_at',
     'may_begin_promotion',
     'may_work_with_primary',
     'record_statement',
     'record_store_read',
+    'rest_on',
 ]
 
 VALID_S = 1.0  # life of a basis; a promotion waits this long for the silent
 SAFETY_S = 0.1  # for clock rates that differ and for timers that fire late
-CONSENT_LIMIT_S = 15.0  # without the store; a newcomer waits as long
+CONSENT_LIMIT_S = 10.0  # without the store; a newcomer waits as long
 
 
 class Statement(NamedTuple):
@@ -67,10 +70,53 @@
     permissions.store_as_of = max(permissions.store_as_of, as_of)
     permissions.registered = proxies
     permissions.registered_as_of = as_of
-    if permissions.name in proxies and math.isinf(permissions.joined_at):
+    if permissions.name not in counted_proxies(permissions):
+        permissions.joined_at = math.inf
+    elif math.isinf(permissions.joined_at):
         permissions.joined_at = as_of
 
 
+class PeerWord(NamedTuple):
+    """What a peer's message says that this proxy may rest on.
+
+    `basis_age` is the age of the peer's own basis, and `records_version` the
+    version of the shared records that it knows.
+    """
+
+    name: str
+    incarnation: int
+    records_version: int
+    basis_age: float
+    states_none_begun: bool
+
+
+def rest_on(
+    permissions: Permissions,
+    word: PeerWord,
+    records_version: int,
+    sent_after: float,
+) -> None:
+    """Take over what a peer rests on, and its own statement.
+
+    Parameters
+    ----------
+    permissions : Permissions
+    word : PeerWord
+    records_version : int
+        Of the records that this proxy knows. The word of a peer that knows
+        newer ones says nothing about the older ones.
+    sent_after : float
+        A time, in this clock, after which the peer sent its message.
+    """
+    if word.records_version > records_version:
+        return
+    permissions.store_as_of = max(
+        permissions.store_as_of, sent_after - word.basis_age
+    )
+    if word.states_none_begun:
+        record_statement(permissions, word.name, word.incarnation, sent_after)
+
+
 def record_statement(
     permissions: Permissions, name: str, incarnation: int, as_of: float
 ) -> None:
@@ -82,20 +128,32 @@
         permissions.statements[name] = known._replace(as_of=as_of)
 
 
+def counted_proxies(permissions: Permissions) -> set[str]:
+    """Return the registered proxies that are not marked as silent."""
+    return {
+        record.name
+        for record in permissions.registered.values()
+        if not record.silent
+    }
+
+
 def _consent_as_of(permissions: Permissions, now: float) -> float:
     """Return since when the oldest statement of a registered proxy holds."""
     if now - permissions.registered_as_of > CONSENT_LIMIT_S:
         return -math.inf
-    others = (name for name in permissions.registered if name != permissions.name)
-    return min(
-        (
-            permissions.statements[name].as_of
-            if name in permissions.statements
-            else -math.inf
-            for name in others
-        ),
-        default=now,
-    )
+    counted = counted_proxies(permissions)
+    if permissions.name not in counted:
+        return -math.inf
+    others = counted - {permissions.name}
+    if not others:
+        # Nobody would tell a proxy that rests on itself of a newcomer.
+        return -math.inf
+    return min(_stated_as_of(permissions, name) for name in others)
+
+
+def _stated_as_of(permissions: Permissions, name: str) -> float:
+    stated = permissions.statements.get(name)
+    return -math.inf if stated is None else stated.as_of
 
 
 def basis_ends_at(permissions: Permissions, now: float) -> float:
@@ -142,7 +200,10 @@
     A proxy that has joined only now is unknown to those that can't reach the
     store; they may go on without its consent until theirs has run out.
     """
-    others = set(permissions.registered) - {permissions.name}
+    counted = counted_proxies(permissions)
+    if permissions.name not in counted:
+        return False
+    others = counted - {permissions.name}
     return others <= counted_by or (
         now - permissions.joined_at > CONSENT_LIMIT_S + VALID_S
     )
--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -155,9 +155,7 @@
     return load.held >= needed or now >= load.lagging_until
 
 
-def _cost(
-    tables: FleetTables, server: Server, *, is_primary: bool
-) -> float:
+def _cost(tables: FleetTables, server: Server, *, is_primary: bool) -> float:
     load = server_load(tables, server.name)
     busy = load.in_flight + load.waiting + 1
     cost = busy * load.latency_s
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/tests/fleet_world.py
@@ -0,0 +1,50 @@
+"""A group of three servers, as one proxy sees it."""
+
+from toucandeal.fleet import (
+    FleetConfiguration,
+    GroupRecord,
+    InteractiveGroup,
+    ProxyRecord,
+    Route,
+    RouteKind,
+    Server,
+)
+from toucandeal.fleet_tables import FleetTables, learn_record, record_position
+from toucandeal.permissions import record_store_read
+from toucandeal.positions import LogPosition
+
+__all__ = ['NOW', 'new_route', 'new_tables', 'permit', 'primary_at']
+
+NOW = 1000.0
+
+
+def new_route(kind=RouteKind.READ_YOUR_WRITES):
+    """Return a route to the group."""
+    return Route('db', 'g', kind, 0.8, 0.2, 1, 1.5)
+
+
+def new_tables():
+    """Return tables with a permitted primary `a` and replicas `b`, `c`."""
+    tables = FleetTables('p1', 'z1')
+    tables.configuration = FleetConfiguration(
+        1, {'db': new_route()}, {'g': InteractiveGroup('g', 16)}, 3.0
+    )
+    for name in 'abc':
+        tables.servers[name] = Server(
+            name, 'g', f'{name}:1', 'z1', 2, False, name == 'a'
+        )
+    learn_record(tables, GroupRecord('g', 'a', 3, version=1))
+    permit(tables, NOW)
+    return tables
+
+
+def permit(tables, now):
+    """Let the tables rest on a read of the store at `now`."""
+    proxies = {name: ProxyRecord(name, 1, f'{name}:1') for name in ('p1', 'p2')}
+    record_store_read(tables.permissions, now, proxies)
+
+
+def primary_at(tables, index, now, term=3):
+    """Let the primary answer a statement, sent and answered at `now`."""
+    primary = tables.servers[tables.groups['g'].record.primary]
+    record_position(tables, primary, LogPosition(term, index), now, now)
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
@@ -0,0 +1,112 @@
+"""Sessions, and how they are laid onto pooled connections."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from toucandeal.caller_sessions import (
+    CallerSession,
+    LaidState,
+    PreparedShape,
+    PrepareShape,
+    ResetSession,
+    SetValue,
+    apply_step,
+    setup_steps,
+    shape_name,
+)
+
+READ = PreparedShape('q1', False)
+WRITE = PreparedShape('q1', True)
+
+
+def test_a_fitting_connection_needs_no_step():
+    laid = LaidState()
+    apply_step(laid, SetValue('zone', 'a'))
+    apply_step(laid, PrepareShape(READ))
+    assert setup_steps(laid, {'zone': 'a'}, [READ]) == []
+
+
+def test_values_of_another_session_are_cleared_first():
+    laid = LaidState()
+    apply_step(laid, SetValue('zone', 'a'))
+    apply_step(laid, PrepareShape(READ))
+    assert setup_steps(laid, {'lang': 'es'}, [READ]) == [
+        ResetSession(),
+        SetValue('lang', 'es'),
+        PrepareShape(READ),
+    ]
+
+
+def test_the_kind_of_a_shape_is_part_of_its_name():
+    assert shape_name(READ) != shape_name(WRITE)
+
+
+def test_the_state_follows_the_transaction():
+    session = CallerSession(1, 'db', 'user')
+    assert session.state == 'idle'
+
+
+class PooledConnections(RuleBasedStateMachine):
+    """Sessions that share two connections never see each other's state."""
+
+    @initialize()
+    def begin(self):
+        self.sessions = [CallerSession(n, 'db', 'u') for n in range(3)]
+        self.laid = [LaidState(), LaidState()]
+        # What a server keeps for each connection.
+        self.values = [{}, {}]
+        self.shapes = [{}, {}]
+
+    @rule(
+        session=st.integers(0, 2),
+        name=st.sampled_from('ab'),
+        setting=st.sampled_from('xyz'),
+    )
+    def set_value(self, session, name, setting):
+        self.sessions[session].values[name] = setting
+
+    @rule(
+        session=st.integers(0, 2),
+        name=st.sampled_from(['s1', 's2']),
+        shape=st.sampled_from(['q1', 'q2']),
+        writes=st.booleans(),
+    )
+    def prepare(self, session, name, shape, writes):
+        self.sessions[session].prepared[name] = PreparedShape(shape, writes)
+
+    @rule(connection=st.integers(0, 1))
+    def reconnect(self, connection):
+        self.laid[connection] = LaidState()
+        self.values[connection] = {}
+        self.shapes[connection] = {}
+
+    @rule(session=st.integers(0, 2), connection=st.integers(0, 1))
+    def run_statement(self, session, connection):
+        caller = self.sessions[session]
+        laid = self.laid[connection]
+        needed = list(caller.prepared.values())
+        for step in setup_steps(laid, caller.values, needed):
+            self._at_server(connection, step)
+            apply_step(laid, step)
+        assert self.values[connection] == caller.values
+        for shape in needed:
+            assert self.shapes[connection][shape_name(shape)] == shape
+
+    def _at_server(self, connection, step):
+        match step:
+            case SetValue(name, setting):
+                self.values[connection][name] = setting
+            case PrepareShape(prepared):
+                name = shape_name(prepared)
+                assert name not in self.shapes[connection]
+                self.shapes[connection][name] = prepared
+            case ResetSession():
+                self.values[connection].clear()
+                self.shapes[connection].clear()
+
+
+TestPooledConnections = PooledConnections.TestCase
+TestPooledConnections.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None
+)
--- a/packages/toucandeald/src/toucandeald/confirmations.py
+++ b/packages/toucandeald/src/toucandeald/confirmations.py
@@ -37,6 +37,7 @@
         self._clock = clock
         self._tables = tables
         self._asked_at: dict[str, float] = {}
+        self._turns: dict[str, int] = {}
 
     async def wait(
         self,
@@ -52,12 +53,16 @@
             now = steady_seconds()
             if now >= deadline_at or not is_current():
                 return False
-            if now - began_at >= ASK_AFTER_S:
-                self._ask_for_evidence(group, now)
+            waited_s = now - began_at
+            if waited_s >= ASK_AFTER_S:
+                retried = waited_s >= ASK_AFTER_S + ASK_AGAIN_S
+                self._ask_for_evidence(group, now, retried=retried)
             await _pause(self._clock, CHECK_S)
         return True
 
-    def _ask_for_evidence(self, group: str, now: float) -> None:
+    def _ask_for_evidence(
+        self, group: str, now: float, *, retried: bool
+    ) -> None:
         if now - self._asked_at.get(group, 0) < ASK_AGAIN_S:
             return
         record = group_state(self._tables, group).record
@@ -65,20 +70,19 @@
         if not replicas:
             return
         self._asked_at[group] = now
-        loads = {
-            replica: server_load(self._tables, replica.name)
-            for replica in replicas
-        }
-        # The one that was ahead last time is likely to be ahead again.
-        self.ask(
-            max(
-                replicas,
-                key=lambda replica: (
-                    loads[replica].unreachable_since is None,
-                    loads[replica].received,
-                    -loads[replica].latency_s,
-                ),
-            )
+        # The one that was ahead last time is likely to be ahead again; where
+        # it is not, the others are asked in turn.
+        replicas.sort(key=self._likely_ahead, reverse=True)
+        turn = self._turns.get(group, 0) if retried else 0
+        self._turns[group] = turn + 1
+        self.ask(replicas[turn % len(replicas)])
+
+    def _likely_ahead(self, replica: Server):
+        load = server_load(self._tables, replica.name)
+        return (
+            load.unreachable_since is None,
+            load.received,
+            -load.latency_s,
         )
 
 
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -11,6 +11,7 @@
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables
 from toucandeald.confirmations import Confirmations
+from toucandeald.faults import run
 from toucandeald.fleet_settings import FleetSettings
 from toucandeald.fleet_shutdown import FleetShutdown
 from toucandeald.fleet_wire import FleetMessage
@@ -27,6 +28,7 @@
 from toucandeald.server_pools import ServerPools
 from toucandeald.session_service import SessionService
 from toucandeald.shared_state import SharedState, SharedTables
+from toucandeald.silent_proxies import SilentProxies
 from toucandeald.steady_clock import steady_seconds
 from toucandeald.stopping_work import StoppingWork
 from toucandeald.web import listen
@@ -64,6 +66,7 @@
     lifecycle: Lifecycle
     lifecycle_state: LifecycleState
     shutdown: FleetShutdown
+    silent: SilentProxies
     ports: FleetPorts
 
 
@@ -83,7 +86,9 @@
     gossip = Gossip(tables, state, own)
     pools = ServerPools(reactor, tables, ports.open_link)
     confirmations = Confirmations(reactor, tables)
-    confirmations.ask = lambda server: _ask(pools, server)
+    confirmations.ask = lambda server: run(
+        pools.ask_report(server, REPORT_WAIT_S)
+    )
     service = SessionService(reactor, tables, pools, confirmations, measures)
     stopping = StoppingWork(reactor, tables, pools, service, gossip)
     watch = PrimaryWatch(reactor, tables, ports.open_link)
@@ -124,19 +129,13 @@
             lifecycle,
             lifecycle_state,
             shutdown,
+            SilentProxies(tables, state),
             ports,
         )
     finally:
         sockets.close()
 
 
-def _ask(pools: ServerPools, server) -> None:
-    asking = defer.ensureDeferred(pools.ask_report(server, REPORT_WAIT_S))
-    asking.addErrback(
-        lambda failure: log_event('fault', error=failure.getTraceback())
-    )
-
-
 async def start_fleet(
     reactor, settings: FleetSettings, parts: FleetParts
 ) -> None:
@@ -200,6 +199,7 @@
 
 def _keep_up(parts: FleetParts) -> None:
     parts.pools.keep_up()
+    parts.silent.tick(steady_seconds())
     parts.service.expire_transactions(steady_seconds())
     measures = parts.measures
     measures.gauge('sessions', len(parts.service.sessions))
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -21,7 +21,8 @@
     beat received from the addressee's `echo_incarnation`, which came
     `echo_held` seconds ago.
     `basis_age` is the age of the sender's last read of the shared records,
-    and `states_none_begun` its statement that it has begun no promotion.
+    and `states_none_begun` its statement that it has begun no promotion;
+    neither is for an addressee that it does not count (`gives_basis`).
     """
 
     sender: str
@@ -34,6 +35,7 @@
     draining: bool
     counted: list[str]
     basis_age: float
+    gives_basis: bool
     states_none_begun: bool
     records_version: int
     configuration_version: int
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -4,7 +4,7 @@
 
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables, PeerView, server_load
-from toucandeal.permissions import record_statement
+from toucandeal.permissions import PeerWord, counted_proxies, rest_on
 from toucandeald.fleet_wire import (
     Beat,
     Begun,
@@ -73,6 +73,12 @@
         """Send a message to one peer."""
         self.sockets.send(address, message)
 
+    def send_to(self, names: set[str], message) -> None:
+        """Send a message to those of the peers that are named."""
+        for name, address in self.addresses().items():
+            if name in names:
+                self.send(address, message)
+
     def received(self, message) -> None:
         """Take in a message."""
         match message:
@@ -119,8 +125,9 @@
                 echo_incarnation=heard[0].incarnation if heard else 0,
                 echo_held=now - heard[1] if heard else 0,
                 draining=self._tables.draining,
-                counted=sorted(permissions.registered),
+                counted=sorted(counted_proxies(permissions)),
                 basis_age=min(now - permissions.store_as_of, PEER_FORGOTTEN_S),
+                gives_basis=name in counted_proxies(permissions),
                 states_none_begun=none_begun,
                 records_version=self._state.records_version,
                 configuration_version=(
@@ -133,9 +140,8 @@
 
     def _primary_heard(self, now: float) -> dict[str, float]:
         heard = {
-            group.name: now - server_load(
-                self._tables, group.record.primary
-            ).heard_at
+            group.name: now
+            - server_load(self._tables, group.record.primary).heard_at
             for group in self._tables.groups.values()
             if group.record is not None
         }
@@ -147,9 +153,7 @@
         now = steady_seconds()
         known = self._tables.peers.get(beat.sender)
         if known is None or known.incarnation != beat.incarnation:
-            log_event(
-                'peer', name=beat.sender, incarnation=beat.incarnation
-            )
+            log_event('peer', name=beat.sender, incarnation=beat.incarnation)
         elif now - known.heard_at > PEER_SILENT_S:
             log_event('peer regained', name=beat.sender)
         self._heard[beat.sender] = (beat, now)
@@ -168,14 +172,19 @@
 
     def _rest_on(self, beat: Beat, sent_after: float) -> None:
         """Take over what a peer rests on; it was sent after `sent_after`."""
-        permissions = self._tables.permissions
-        if beat.records_version <= self._state.records_version:
-            permissions.store_as_of = max(
-                permissions.store_as_of, sent_after - beat.basis_age
+        if beat.gives_basis:
+            word = PeerWord(
+                beat.sender,
+                beat.incarnation,
+                beat.records_version,
+                beat.basis_age,
+                beat.states_none_begun,
             )
-        if beat.states_none_begun:
-            record_statement(
-                permissions, beat.sender, beat.incarnation, sent_after
+            rest_on(
+                self._tables.permissions,
+                word,
+                self._state.records_version,
+                sent_after,
             )
 
     def _complete(self, beat: Beat) -> None:
--- a/packages/toucandeald/src/toucandeald/link_pool.py
+++ b/packages/toucandeald/src/toucandeald/link_pool.py
@@ -8,6 +8,7 @@
 
 from toucandeal.caller_sessions import PreparedShape, setup_steps
 from toucandeal.fleet import Server
+from toucandeald.faults import run
 from toucandeald.logs import log_event
 from toucandeald.session_messages import AnswerKind, ServerAnswer
 
@@ -112,7 +113,7 @@
     def close(self) -> None:
         """Close what is idle now and the rest as it is released."""
         self._closed = True
-        for link in self._idle[:]:
+        for link in tuple(self._idle):
             self.discard(link)
         self._fail_waiters()
 
@@ -143,10 +144,7 @@
         if self._clock.seconds() < self._next_open_at:
             return
         self._opening += 1
-        opening = defer.ensureDeferred(self._open())
-        opening.addErrback(
-            lambda failure: log_event('fault', error=failure.getTraceback())
-        )
+        run(self._open())
 
     async def _open(self) -> None:
         try:
--- a/packages/toucandeald/src/toucandeald/logs.py
+++ b/packages/toucandeald/src/toucandeald/logs.py
@@ -75,7 +75,7 @@
     )
 
 
-def log_event(kind: str, **fields) -> None:
+def log_event(kind: str, /, **fields) -> None:
     """Write another line."""
     _task().log(f'toucandeald:{kind}', **fields)
 
--- a/packages/toucandeald/src/toucandeald/measures.py
+++ b/packages/toucandeald/src/toucandeald/measures.py
@@ -7,9 +7,7 @@
 __all__ = ['Measures']
 
 # Around the latency objectives of callers, 100 to 800 ms.
-_BUCKETS_S = (
-    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.6, 3.2
-)
+_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.8, 1.6, 3.2)
 
 
 class Measures:
--- a/packages/toucandeald/src/toucandeald/primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -4,13 +4,9 @@
 the server asked, over a connection of its own.
 """
 
-from collections.abc import Callable, Coroutine
-from typing import Any
-
-from twisted.internet import defer
-
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import FleetTables, group_state, server_load
+from toucandeald.faults import run
 from toucandeald.link_pool import OpenLink
 from toucandeald.logs import log_event
 from toucandeald.session_messages import (
@@ -47,7 +43,7 @@
             return
         log_event('suspected', server=server.name, reason=reason)
         self._checking.add(server.name)
-        self._run(self._check(server))
+        run(self._check(server))
 
     def tick(self, now: float) -> None:
         """Suspect the primaries that owe answers and are silent."""
@@ -106,16 +102,3 @@
         else:
             self.deposed[server.group] = server.name
             log_event('primary has stepped down', server=server.name)
-
-    def _run(self, work: Coroutine[Any, Any, None]) -> None:
-        running = defer.ensureDeferred(work)
-        fault: Callable = _fault
-        running.addErrback(fault)
-
-
-def _fault(failure) -> None:
-    log_event(
-        'fault',
-        error=failure.getErrorMessage(),
-        trace=failure.getTraceback(),
-    )
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -24,6 +24,7 @@
     promotion_trigger,
     replicas_of,
 )
+from toucandeald.faults import run
 from toucandeald.fleet_wire import Begun, RowCopy, Stopped
 from toucandeald.gossip import Gossip
 from toucandeald.link_pool import OpenLink
@@ -41,6 +42,7 @@
     encode_duty,
     encode_group,
     group_key,
+    proxy_key,
 )
 from toucandeald.shared_state import SharedState, pause
 from toucandeald.shared_store import (
@@ -149,7 +151,9 @@
             age = now - self._state.record_seen_at.get(name, now)
             duty_age = now - self._state.duty_seen_at
             if min(age, duty_age) > HOLDER_S + RESUME_S:
-                return Trigger('a promotion was left unfinished', record.planned)
+                return Trigger(
+                    'a promotion was left unfinished', record.planned
+                )
             return None
         if self._watch.deposed.get(name) == record.primary:
             return Trigger('the primary has stepped down', planned=False)
@@ -165,12 +169,13 @@
     def _start(self, name: str, trigger: Trigger) -> None:
         self._running = True
         log_event(
-            'promotion', group=name, reason=trigger.reason,
-            planned=trigger.planned, step='wanted',
+            'promotion',
+            group=name,
+            reason=trigger.reason,
+            planned=trigger.planned,
+            step='wanted',
         )
-        running = defer.ensureDeferred(self._carry_out(name, trigger))
-        running.addErrback(_fault)
-        running.addBoth(lambda _: self._ended())
+        run(self._carry_out(name, trigger), self._ended)
 
     def _ended(self) -> None:
         self._running = False
@@ -182,12 +187,14 @@
             else:
                 await self._promote(name, trigger)
         except StoreUnavailable as error:
-            log_event('promotion', group=name, step='store lost',
-                      reason=str(error))
+            log_event(
+                'promotion', group=name, step='store lost', reason=str(error)
+            )
             await pause(self._clock, AGAIN_S)
         except Abandoned as error:
-            log_event('promotion', group=name, step='abandoned',
-                      reason=str(error))
+            log_event(
+                'promotion', group=name, step='abandoned', reason=str(error)
+            )
             await pause(self._clock, ABANDONED_S)
 
     async def _record_first(self, name: str) -> None:
@@ -259,7 +266,12 @@
         under the same preconditions until one of the two is certain.
         """
         nonce = secrets.token_hex(8)
+        own = self._tables.permissions.registered.get(self._tables.name)
+        if own is None or own.silent:
+            raise Abandoned('this proxy is not registered')
         preconditions = [
+            # Nobody has marked this proxy as silent in the meantime.
+            Precondition(RECORDS_TABLE, proxy_key(own.name), own.version),
             Precondition(RECORDS_TABLE, DUTY_KEY, duty_version),
             Precondition(RECORDS_TABLE, group_key(record.group), version),
         ]
@@ -267,29 +279,35 @@
             Put(RECORDS_TABLE, DUTY_KEY, encode_duty(self._tables.name, nonce)),
             Put(RECORDS_TABLE, group_key(record.group), encode_group(record)),
         ]
-        uncertain = False
         # Dated by the first call: any of the calls may be the one that won.
         sent_at = steady_seconds()
-        while True:
-            try:
-                outcome = await self._store.transact(preconditions, puts)
-            except StoreUnavailable as error:
-                uncertain = uncertain or error.uncertain
-                if not uncertain:
-                    raise
-                log_event('promotion', group=record.group, step='uncertain',
-                          reason=str(error))
-                await pause(self._clock, AGAIN_S)
-                continue
-            break
+        await self._write_surely(record.group, preconditions, puts)
         await self._read()
-        if isinstance(outcome, Conflict) and self._state.duty.nonce != nonce:
+        if self._state.duty.nonce != nonce:
             raise Abandoned('another proxy was faster')
         token = self._state.duty.version
         held = group_state(self._tables, record.group).record
         log_event('promotion', group=record.group, step='begun', token=token)
         return Right(token, sent_at + HOLDER_S, held)
 
+    async def _write_surely(self, group: str, preconditions, puts) -> None:
+        uncertain = False
+        while True:
+            try:
+                await self._store.transact(preconditions, puts)
+                return
+            except StoreUnavailable as error:
+                uncertain = uncertain or error.uncertain
+                if not uncertain:
+                    raise
+                log_event(
+                    'promotion',
+                    group=group,
+                    step='uncertain',
+                    reason=str(error),
+                )
+            await pause(self._clock, AGAIN_S)
+
     async def _read(self) -> None:
         """Read the records; give up where the store does not answer."""
         if not await self._state.read_records():
@@ -300,26 +318,22 @@
         record = right.record
         name = record.group
         lapse = lapsed_at(steady_seconds(), self._gossip.last_stated_at)
-        row = RowCopy(
-            group_key(name), encode_group(record), record.version
-        )
-        own = self._gossip.own_address
+        row = RowCopy(group_key(name), encode_group(record), record.version)
+        asking = Begun(self._tables.name, self._gossip.own_address, row)
         asked_at = 0.0
-        while True:
-            now = steady_seconds()
-            missing = self._not_stopped(record)
-            if not missing or now >= lapse:
-                break
-            if now - asked_at >= ASK_S:
-                asked_at = now
-                for peer, address in self._gossip.addresses().items():
-                    if peer in missing:
-                        self._gossip.send(
-                            address, Begun(self._tables.name, own, row)
-                        )
+        missing = self._not_stopped(record)
+        while missing and steady_seconds() < lapse:
+            if steady_seconds() - asked_at >= ASK_S:
+                asked_at = steady_seconds()
+                self._gossip.send_to(missing, asking)
             await pause(self._clock, LOOK_S)
-        log_event('promotion', group=name, step='peers stopped',
-                  silent=sorted(missing))
+            missing = self._not_stopped(record)
+        log_event(
+            'promotion',
+            group=name,
+            step='peers stopped',
+            silent=sorted(missing),
+        )
 
     def _not_stopped(self, record: GroupRecord) -> set[str]:
         versions = self._stopped.get(record.group, {})
@@ -370,11 +384,7 @@
         }
         newest = max((report.term for report in reports.values()), default=0)
         return next(
-            (
-                (name, term)
-                for name, term in leading.items()
-                if term == newest
-            ),
+            ((name, term) for name, term in leading.items() if term == newest),
             None,
         )
 
@@ -415,8 +425,14 @@
         )
         if planned:
             await self._step_down(record, term + 1)
-        log_event('promotion', group=record.group, step='chosen', server=best,
-                  received=reports[best].received, term=term)
+        log_event(
+            'promotion',
+            group=record.group,
+            step='chosen',
+            server=best,
+            received=reports[best].received,
+            term=term,
+        )
         return self._tables.servers.get(best), term
 
     async def _primary_report(self, record: GroupRecord) -> Reported | None:
@@ -429,8 +445,13 @@
         primary = self._tables.servers.get(record.primary)
         if primary is not None:
             answer = await self._ask(primary, StepDown(term))
-            log_event('promotion', group=record.group, step='stepped down',
-                      server=primary.name, answer=answer.kind.value)
+            log_event(
+                'promotion',
+                group=record.group,
+                step='stepped down',
+                server=primary.name,
+                answer=answer.kind.value,
+            )
 
     async def _order(self, right: Right, chosen: Server) -> Right:
         """Send the order until it is accepted."""
@@ -447,12 +468,21 @@
                     ORDER_TIMEOUT_S,
                 )
             except StoreUnavailable as error:
-                log_event('promotion', group=record.group, step='no answer',
-                          reason=str(error))
+                log_event(
+                    'promotion',
+                    group=record.group,
+                    step='no answer',
+                    reason=str(error),
+                )
                 await pause(self._clock, AGAIN_S)
                 continue
-            log_event('promotion', group=record.group, step='ordered',
-                      server=chosen.name, answer=answer.value)
+            log_event(
+                'promotion',
+                group=record.group,
+                step='ordered',
+                server=chosen.name,
+                answer=answer.value,
+            )
             if answer is PromoteAnswer.NOT_RUNNING:
                 raise Abandoned(f'{chosen.name} does not run')
             return right
@@ -501,25 +531,31 @@
                     ],
                 )
             except StoreUnavailable as error:
-                log_event('promotion', group=record.group, step='unsettled',
-                          reason=str(error))
+                log_event(
+                    'promotion',
+                    group=record.group,
+                    step='unsettled',
+                    reason=str(error),
+                )
                 await pause(self._clock, AGAIN_S)
                 continue
             break
         self._watch.deposed.pop(record.group, None)
         await self._state.read_records()
         self._gossip.share_records()
-        log_event('promotion', group=record.group, step='settled',
-                  server=primary, term=term,
-                  first=not isinstance(outcome, Conflict))
+        log_event(
+            'promotion',
+            group=record.group,
+            step='settled',
+            server=primary,
+            term=term,
+            first=not isinstance(outcome, Conflict),
+        )
 
     async def _reports(self, servers: list[Server]) -> dict[str, Reported]:
         """Return the reports of the servers that answer."""
         answers = await defer.gatherResults(
-            [
-                defer.ensureDeferred(self._report(server))
-                for server in servers
-            ]
+            [defer.ensureDeferred(self._report(server)) for server in servers]
         )
         return {
             server.name: report
@@ -548,11 +584,3 @@
         answer = await link.call(request, REPORT_TIMEOUT_S)
         link.close()
         return answer
-
-
-def _fault(failure) -> None:
-    log_event(
-        'fault',
-        error=failure.getErrorMessage(),
-        trace=failure.getTraceback(),
-    )
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -15,6 +15,7 @@
     record_position,
     server_load,
 )
+from toucandeal.permissions import counted_proxies
 from toucandeal.placement import connection_share
 from toucandeald.link_pool import LinkPool, OpenLink
 from toucandeald.logs import log_event
@@ -184,7 +185,7 @@
             return
         declared = configuration.groups.get(pool.server.group)
         if declared is not None:
-            proxies = len(self._tables.permissions.registered)
+            proxies = len(counted_proxies(self._tables.permissions))
             pool.limit = connection_share(declared.connection_limit, proxies)
 
     def _answered(
@@ -201,9 +202,7 @@
         if answer.kind is AnswerKind.READ_ONLY:
             self.on_suspicion(server, 'it refuses writes')
         if answer.position is not None:
-            record_position(
-                self._tables, server, answer.position, sent_at, now
-            )
+            record_position(self._tables, server, answer.position, sent_at, now)
 
     def _connection_observed(
         self, server: Server, refusal: ServerAnswer | None
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -36,7 +36,9 @@
 
 __all__ = ['SessionService']
 
-MAX_READ_ATTEMPTS = 4  # a group has three servers, and one may lag and recover
+MAX_BEGIN_ATTEMPTS = 4  # a group has three servers; the primary may change
+MAX_READ_ATTEMPTS = 4  # as many, for a read
+FULL_READ_ATTEMPT = 3  # from this one on, an attempt has all the time left
 MAX_WRITE_ATTEMPTS = 3  # each only after a clear word that nothing ran
 PATIENCE_SHARE = 0.6  # of the aim, that a statement may wait for a connection
 READ_ATTEMPT_SHARE = 0.6  # of the aim, before a read is offered elsewhere
@@ -57,9 +59,7 @@
 
 
 @contextlib.contextmanager
-def counted(
-    counts: dict[str, int], name: str, applies: bool
-) -> Iterator[None]:
+def counted(counts: dict[str, int], name: str, applies: bool) -> Iterator[None]:
     """Count work of `name` for as long as it lasts."""
     step = 1 if applies else 0
     counts[name] = counts.get(name, 0) + step
@@ -315,33 +315,30 @@
     async def _run_read(self, call: Call) -> CallerReply:
         """Run a single read, on another server where one falls short."""
         tried: frozenset[str] = frozenset()
-        reason = 'no server has answered'
-        attempt_s = max(
-            call.route.aim_s * READ_ATTEMPT_SHARE, MIN_READ_ATTEMPT_S
-        )
-        for _ in range(MAX_READ_ATTEMPTS):
-            now = steady_seconds()
+        answer = _not_run('no server can run it now')
+        for attempt in range(1, MAX_READ_ATTEMPTS + 1):
             place = place_read(
-                self._tables, call.route, call.session.seen, now, tried
+                self._tables,
+                call.route,
+                call.session.seen,
+                steady_seconds(),
+                tried,
             )
             if isinstance(place, Refuse):
                 if not tried:
                     return _refused(call.session, place)
                 break
             tried |= {place.server.name}
-            last = len(tried) == MAX_READ_ATTEMPTS - 1
-            limit_s = call.deadline_at - now
             answer = await self._offer(
-                call, place, limit_s if last else min(attempt_s, limit_s)
+                call, place, _read_timeout_s(call, attempt)
             )
             if answer.kind is AnswerKind.COMPLETED:
                 return self._answered(call, place, answer)
-            reason = answer.reason
-            if answer.kind is AnswerKind.FAILED and last:
-                return _reply(call.session, ReplyKind.FAILED, reason)
             if steady_seconds() >= call.deadline_at:
                 break
-        return _refused(call.session, Refuse(reason, RETRY_S))
+        if answer.kind is AnswerKind.FAILED:
+            return _reply(call.session, ReplyKind.FAILED, answer.reason)
+        return _refused(call.session, Refuse(answer.reason, RETRY_S))
 
     async def _run_write(self, call: Call) -> CallerReply:
         """Run a single write, again only where nothing has run."""
@@ -352,9 +349,7 @@
             if isinstance(place, Refuse):
                 return _refused(call.session, place)
             with self._primary_work(place):
-                answer = await self._offer(
-                    call, place, call.deadline_at - now
-                )
+                answer = await self._offer(call, place, call.deadline_at - now)
                 if answer.kind not in NOTHING_RAN:
                     return await self._write_answered(call, place, answer)
             reason = answer.reason
@@ -363,9 +358,7 @@
         return _refused(call.session, Refuse(reason, RETRY_S))
 
     def _primary_work(self, place: Place):
-        return counted(
-            self.primary_work, place.server.group, place.on_primary
-        )
+        return counted(self.primary_work, place.server.group, place.on_primary)
 
     async def _write_answered(
         self, call: Call, place: Place, answer: ServerAnswer
@@ -382,16 +375,13 @@
         self, call: Call, place: Place, answer: ServerAnswer
     ) -> CallerReply:
         """Pass a write's success on once it can't be lost any more."""
-        if answer.position is not None:
-            kept = await self._confirmations.wait(
-                place.server.group,
-                place.server.name,
-                answer.position,
-                call.deadline_at,
-                lambda: self._is_current(place),
-            )
-        else:
-            kept = False
+        kept = answer.position is not None and await self._confirmations.wait(
+            place.server.group,
+            place.server.name,
+            answer.position,
+            call.deadline_at,
+            lambda: self._is_current(place),
+        )
         if not kept or not self._is_current(place):
             return _reply(
                 call.session,
@@ -489,7 +479,7 @@
         """Begin the transaction at a server; return a reply if none begins."""
         tried: frozenset[str] = frozenset()
         reason = 'no server has begun the transaction'
-        for _ in range(MAX_READ_ATTEMPTS):
+        for _ in range(MAX_BEGIN_ATTEMPTS):
             now = steady_seconds()
             place = (
                 place_read(
@@ -592,7 +582,9 @@
         self._free(opened)
         opened.failure = reason
         log_event(
-            'transaction', session=session.identity, outcome='rolled back',
+            'transaction',
+            session=session.identity,
+            outcome='rolled back',
             reason=reason,
         )
 
@@ -602,8 +594,10 @@
         session.transaction = None
         if opened is not None and opened.link is not None:
             log_event(
-                'transaction', session=session.identity,
-                outcome='rolled back', reason=reason,
+                'transaction',
+                session=session.identity,
+                outcome='rolled back',
+                reason=reason,
             )
             self._free(opened)
 
@@ -631,6 +625,15 @@
         return ending.addCallback(ended)
 
 
+def _read_timeout_s(call: Call, attempt: int) -> float:
+    """Return how long an attempt of a read waits for its answer."""
+    left_s = call.deadline_at - steady_seconds()
+    if attempt >= FULL_READ_ATTEMPT:
+        return left_s
+    share_s = call.route.aim_s * READ_ATTEMPT_SHARE
+    return min(left_s, max(share_s, MIN_READ_ATTEMPT_S))
+
+
 def _change_session(
     session: CallerSession, statement: Statement
 ) -> CallerReply:
--- a/packages/toucandeald/src/toucandeald/shared_records.py
+++ b/packages/toucandeald/src/toucandeald/shared_records.py
@@ -49,6 +49,7 @@
 class _Proxy(msgspec.Struct):
     incarnation: int
     address: str
+    silent: bool = False
 
 
 class Records(NamedTuple):
@@ -91,7 +92,9 @@
 
 def encode_proxy(record: ProxyRecord) -> bytes:
     """Encode a proxy's record."""
-    return msgspec.json.encode(_Proxy(record.incarnation, record.address))
+    return msgspec.json.encode(
+        _Proxy(record.incarnation, record.address, record.silent)
+    )
 
 
 def encode_duty(holder: str, nonce: str) -> bytes:
@@ -129,7 +132,7 @@
         name = row.key.removeprefix(_PROXY)
         proxy = msgspec.json.decode(row.content, type=_Proxy)
         decoded.proxies[name] = ProxyRecord(
-            name, proxy.incarnation, proxy.address, row.version
+            name, proxy.incarnation, proxy.address, proxy.silent, row.version
         )
     elif row.key == DUTY_KEY:
         return msgspec.structs.replace(
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -26,6 +26,7 @@
     server_load,
 )
 from toucandeal.permissions import basis_ends_at, record_store_read
+from toucandeald.faults import run
 from toucandeald.logs import log_event
 from toucandeald.shared_records import (
     RECORDS_TABLE,
@@ -34,7 +35,13 @@
     encode_proxy,
     proxy_key,
 )
-from toucandeald.shared_store import HistoryGone, Put, SharedRow, Snapshot
+from toucandeald.shared_store import (
+    HistoryGone,
+    Precondition,
+    Put,
+    SharedRow,
+    Snapshot,
+)
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = ['SharedState', 'SharedTables', 'pause']
@@ -142,7 +149,7 @@
             ),
             self._keep_reading(),
         ):
-            defer.ensureDeferred(following).addErrback(_fault)
+            run(following)
 
     async def leave(self) -> None:
         """Remove this proxy from the registered ones."""
@@ -226,9 +233,7 @@
             if known is None or row.version > known.version:
                 self._take_server(row)
 
-    def take_server_snapshot(
-        self, rows: list[SharedRow], version: int
-    ) -> None:
+    def take_server_snapshot(self, rows: list[SharedRow], version: int) -> None:
         """Take in the whole list of servers unless it is an older one."""
         if version <= self.servers_version:
             return
@@ -236,9 +241,7 @@
         present = {row.key for row in rows}
         for key, known in list(self.servers.items()):
             if key not in present and not known.removed:
-                self._take_server(
-                    SharedRow(key, b'', version, removed=True)
-                )
+                self._take_server(SharedRow(key, b'', version, removed=True))
         self.servers_version = version
 
     def _take_server_snapshot(self, rows: list[SharedRow]) -> None:
@@ -274,9 +277,7 @@
         for key in set(self.records) - {row.key for row in snapshot.rows}:
             self.records.pop(key)
         self.take_record_rows(snapshot.rows)
-        record_store_read(
-            self._tables.permissions, sent_at, decoded.proxies
-        )
+        record_store_read(self._tables.permissions, sent_at, decoded.proxies)
 
     def _store_lost(self, reason: str) -> None:
         if self.store_answers:
@@ -296,9 +297,7 @@
                     snapshot = await self._store.read_all(table)
                     reset(snapshot.rows)
                     version = snapshot.version
-                changes = await self._store.changes(
-                    table, version, FEED_WAIT_S
-                )
+                changes = await self._store.changes(table, version, FEED_WAIT_S)
             except StoreUnavailable as error:
                 log_event('feed lost', table=table, reason=str(error))
                 await pause(self._clock, AGAIN_S)
@@ -317,6 +316,7 @@
             registered = permissions.registered.get(self._own.name)
             if self.store_answers and (
                 registered is None
+                or registered.silent
                 or registered.incarnation != self._own.incarnation
             ):
                 await self._register()
@@ -329,13 +329,42 @@
 
     def _read_is_due(self, now: float) -> bool:
         permissions = self._tables.permissions
-        if now - self._read_at >= OWN_READ_S:
+        past_s = now - self._read_at
+        newcomers = set(self._tables.peers) - set(permissions.registered)
+        if past_s >= OWN_READ_S or (newcomers and past_s >= READ_S):
             return True
         live = sorted({self._own.name, *self._tables.peers})
         rank = live.index(self._own.name)
         due_s = RELAYED_READ_S + rank * RANK_S if rank else READ_S
         return now - permissions.store_as_of >= due_s
 
+    async def mark_silent(self, record: ProxyRecord) -> None:
+        """Mark a proxy that has not been heard for some time."""
+        key = proxy_key(record.name)
+        marked = record._replace(silent=True)
+        try:
+            await self._store.transact(
+                [Precondition(RECORDS_TABLE, key, record.version)],
+                [Put(RECORDS_TABLE, key, encode_proxy(marked))],
+            )
+        except StoreUnavailable as error:
+            log_event('not marked', proxy=record.name, reason=str(error))
+            return
+        log_event('marked silent', proxy=record.name)
+        await self.read_records()
+
+    async def forget(self, record: ProxyRecord) -> None:
+        """Remove the record of a proxy that has been silent for long."""
+        key = proxy_key(record.name)
+        try:
+            await self._store.transact(
+                [Precondition(RECORDS_TABLE, key, record.version)],
+                [],
+                [(RECORDS_TABLE, key)],
+            )
+        except StoreUnavailable as error:
+            log_event('not forgotten', proxy=record.name, reason=str(error))
+
     async def _register(self) -> None:
         put = Put(
             RECORDS_TABLE, proxy_key(self._own.name), encode_proxy(self._own)
@@ -351,11 +380,3 @@
 
 def _ignore(record: GroupRecord, ends_at: float) -> None:
     log_event('record not used', group=record.group, until=ends_at)
-
-
-def _fault(failure) -> None:
-    log_event(
-        'fault',
-        error=failure.getErrorMessage(),
-        trace=failure.getTraceback(),
-    )
--- a/packages/toucandeald/src/toucandeald/stopping_work.py
+++ b/packages/toucandeald/src/toucandeald/stopping_work.py
@@ -1,9 +1,8 @@
 """Ends the work with a primary once a promotion of its group has begun."""
 
-from twisted.internet import defer
-
 from toucandeal.fleet import GroupRecord
 from toucandeal.fleet_tables import FleetTables, group_state
+from toucandeald.faults import run
 from toucandeald.fleet_wire import Begun, Stopped
 from toucandeald.gossip import Gossip
 from toucandeald.logs import log_event
@@ -54,8 +53,7 @@
             group = group_state(self._tables, record.group)
             now = steady_seconds()
             group.work_until = min(now + PLANNED_END_S, ends_at)
-            ending = defer.ensureDeferred(self._end_planned(record))
-            ending.addErrback(_fault)
+            run(self._end_planned(record))
         else:
             self._pools.drop_links(record.primary)
             self._stopped_work(record)
@@ -83,19 +81,9 @@
 
     def _stopped_work(self, record: GroupRecord) -> None:
         self.stopped[record.group] = record.version
-        log_event(
-            'stopped work', group=record.group, version=record.version
-        )
+        log_event('stopped work', group=record.group, version=record.version)
         holder = self._gossip.addresses().get(record.holder)
         if holder is not None:
             self._gossip.send(
                 holder, Stopped(self._name, record.group, record.version)
             )
-
-
-def _fault(failure) -> None:
-    log_event(
-        'fault',
-        error=failure.getErrorMessage(),
-        trace=failure.getTraceback(),
-    )
