Move the callers of a proxy that is cut off; let lapsed entries come back

Cause 2: connections between proxies that a partition had silenced came back only with TCP's own timers, 6 s after the end of the cut; they are probed now. Cause 3: after an outage in which entries lapse, a restarted proxy took the missing entry of a primary as final and promoted another server needlessly. Ruled out: the promotion itself (settled 1.5 s after the primary went silent).

--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -66,9 +66,20 @@
 
 
 def promotion_trigger(
-    tables: FleetTables, name: str, now: float
+    tables: FleetTables, name: str, now: float, *, missing_is_gone: bool = True
 ) -> Trigger | None:
-    """Return why the group's primary has to be replaced, if it has to be."""
+    """Return why the group's primary has to be replaced, if it has to be.
+
+    Parameters
+    ----------
+    tables : FleetTables
+    name : str
+        The group's.
+    now : float
+        Seconds.
+    missing_is_gone : bool
+        Whether a server without an entry is surely gone.
+    """
     group = group_state(tables, name)
     record = group.record
     if record is None or record.changing or tables.draining:
@@ -79,6 +90,8 @@
     load = server_load(tables, record.primary)
     if primary is not None and primary.leaving:
         return Trigger('the primary is leaving', planned=True)
+    if primary is None and not missing_is_gone:
+        return None
     if primary is None:
         return Trigger('the primary is gone', planned=False)
     if load.unreachable_since is None:
--- a/packages/toucandeal/src/toucandeal/tests/test_promotion.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_promotion.py
@@ -67,6 +67,12 @@
     assert promotion_trigger(tables, 'g', NOW).reason == 'the primary is gone'
 
 
+def test_a_missing_entry_may_still_come_back():
+    tables = new_tables()
+    tables.servers.pop('a')
+    assert promotion_trigger(tables, 'g', NOW, missing_is_gone=False) is None
+
+
 def test_nothing_begins_without_replicas_or_during_a_promotion():
     tables = new_tables()
     _unreachable(tables)
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -20,6 +20,7 @@
 from toucandeald.link_pool import OpenLink
 from toucandeald.logs import log_event
 from toucandeald.measures import Measures
+from toucandeald.moving_callers import MovingCallers
 from toucandeald.peers import PeerSockets
 from toucandeald.primary_watch import PrimaryWatch
 from toucandeald.probes import Probe
@@ -67,6 +68,7 @@
     lifecycle_state: LifecycleState
     shutdown: FleetShutdown
     silent: SilentProxies
+    moving: MovingCallers
     ports: FleetPorts
 
 
@@ -130,6 +132,7 @@
             lifecycle_state,
             shutdown,
             SilentProxies(tables, state),
+            MovingCallers(tables, service),
             ports,
         )
     finally:
@@ -146,7 +149,9 @@
     BadSetting
         A port can't be used.
     """
-    probe = Probe(lambda: parts.lifecycle_state.ready)
+    probe = Probe(
+        lambda: parts.lifecycle_state.ready and not parts.moving.cut_off
+    )
     await listen(
         reactor,
         'the probe address',
@@ -185,6 +190,7 @@
     parts.state.tick(now)
     parts.watch.tick(now)
     parts.promoter.tick(now)
+    parts.moving.tick(now)
     if not parts.lifecycle_state.ready and _may_serve(parts.tables):
         parts.lifecycle.started()
 
--- a/packages/toucandeald/src/toucandeald/fleet_shutdown.py
+++ b/packages/toucandeald/src/toucandeald/fleet_shutdown.py
@@ -73,6 +73,4 @@
         if not service.closing_idle:
             service.closing_idle = True
             self.listening.stopListening()
-        for connection in list(service.connections):
-            if connection.idle:
-                service.went_idle(connection)
+        service.close_idle_sessions()
--- a/packages/toucandeald/src/toucandeald/peers.py
+++ b/packages/toucandeald/src/toucandeald/peers.py
@@ -22,6 +22,9 @@
 HIGH_WATER = 1000  # messages queued for a peer
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 500
+CONNECT_TIMEOUT_MS = 500
+PING_MS = 300  # finds connections that have gone silent without a reset
+PING_TIMEOUT_MS = 900
 SHOWN_BYTES = 200  # of a message that could not be taken in
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -117,6 +120,9 @@
             socket.setsockopt(zmq.IMMEDIATE, 1)
             socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
             socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+            socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+            socket.setsockopt(zmq.HEARTBEAT_IVL, PING_MS)
+            socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
             socket.connect(f'tcp://{address}')
             self._push[address] = socket
         return self._push[address]
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -157,7 +157,12 @@
             return None
         if self._watch.deposed.get(name) == record.primary:
             return Trigger('the primary has stepped down', planned=False)
-        return promotion_trigger(self._tables, name, now)
+        return promotion_trigger(
+            self._tables,
+            name,
+            now,
+            missing_is_gone=self._state.has_settled(now),
+        )
 
     def _claims(self, name: str) -> list[Server]:
         return [
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -144,6 +144,14 @@
         if self.closing_idle and (session is None or session.state == 'idle'):
             connection.close()
 
+    def close_idle_sessions(self) -> None:
+        """Close the connections that are between requests."""
+        for connection in list(self.connections):
+            session = connection.session
+            between = session is None or session.state == 'idle'
+            if connection.idle and between:
+                connection.close()
+
     def fault(self, failure) -> None:
         """Log a fault of the proxy itself."""
         log_event(
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -112,6 +112,7 @@
         self._store = store
         self._shared = shared
         self._own = own
+        self.servers_settled_at = math.inf
         self._gone_at: dict[str, float] = {}
         self._read_at = -OWN_READ_S
         self._unreadable: dict[str, int] = {}
@@ -180,6 +181,7 @@
             return False
         if not self.store_answers:
             self.store_answers = True
+            self.servers_settled_at = steady_seconds() + GONE_HOLD_S
             log_event('store regained')
         self._take_records(snapshot, sent_at)
         return True
@@ -248,6 +250,13 @@
         newest = max((row.version for row in rows), default=0)
         self.take_server_snapshot(rows, newest)
 
+    def has_settled(self, now: float) -> bool:
+        """Return whether an entry that is missing is surely gone.
+
+        Entries that lapsed while the store was away come back within a time.
+        """
+        return now >= self.servers_settled_at
+
     def _take_server(self, row: SharedRow) -> None:
         self.servers[row.key] = row
         self.servers_version = max(self.servers_version, row.version)
