Follow the store's feeds closely on two proxies only; confirm writes sooner

Cause: each proxy renewed two long polls every 2 s, although changes also come from its peers within a beat; on the grown sites that was most of the price.

--- a/packages/toucandeald/src/toucandeald/confirmations.py
+++ b/packages/toucandeald/src/toucandeald/confirmations.py
@@ -24,7 +24,7 @@
 __all__ = ['Confirmations']
 
 CHECK_S = 0.005
-ASK_AFTER_S = 0.02  # evidence from ordinary answers is free until then
+ASK_AFTER_S = 0.005  # evidence from ordinary answers is free until then
 ASK_AGAIN_S = 0.03
 
 
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -47,6 +47,8 @@
 __all__ = ['SharedState', 'SharedTables', 'pause']
 
 FEED_WAIT_S = 2.0  # a connection that died silently is noticed after this
+LONG_FEED_WAIT_S = 10.0  # of the proxies that also hear changes from others
+FOLLOWERS = 2  # proxies with the short wait, so that one may be cut off
 AGAIN_S = 0.15  # between calls that the store does not answer
 READ_S = 0.3  # between reads of the records by the proxy that reads them
 RELAYED_READ_S = 0.6  # the age at which a relayed basis is renewed oneself
@@ -306,7 +308,10 @@
                     snapshot = await self._store.read_all(table)
                     reset(snapshot.rows)
                     version = snapshot.version
-                changes = await self._store.changes(table, version, FEED_WAIT_S)
+                short = self._rank() < FOLLOWERS
+                changes = await self._store.changes(
+                    table, version, FEED_WAIT_S if short else LONG_FEED_WAIT_S
+                )
             except StoreUnavailable as error:
                 log_event('feed lost', table=table, reason=str(error))
                 await pause(self._clock, AGAIN_S)
@@ -336,14 +341,17 @@
                     await pause(self._clock, AGAIN_S)
             await pause(self._clock, CHECK_S)
 
+    def _rank(self) -> int:
+        """Return this proxy's place among those that it hears."""
+        return sum(name < self._own.name for name in self._tables.peers)
+
     def _read_is_due(self, now: float) -> bool:
         permissions = self._tables.permissions
         past_s = now - self._read_at
         newcomers = set(self._tables.peers) - set(permissions.registered)
         if past_s >= OWN_READ_S or (newcomers and past_s >= READ_S):
             return True
-        live = sorted({self._own.name, *self._tables.peers})
-        rank = live.index(self._own.name)
+        rank = self._rank()
         due_s = RELAYED_READ_S + rank * RANK_S if rank else READ_S
         return now - permissions.store_as_of >= due_s
 
