Split the long modules by job: forwarding, replies, reports of servers

Moved without a change of behaviour: what is sent to servers, the replies to callers, and the reports of servers have modules of their own; the copies of the fault logging became one.

--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -16,6 +16,7 @@
 from toucandeald.fleet_settings import FleetSettings
 from toucandeald.fleet_shutdown import FleetShutdown
 from toucandeald.fleet_wire import FleetMessage
+from toucandeald.forwarding import Forwarding
 from toucandeald.gossip import BEAT_S, Gossip
 from toucandeald.lifecycle import Lifecycle, LifecycleState, new_lifecycle
 from toucandeald.link_pool import OpenLink
@@ -28,6 +29,7 @@
 from toucandeald.promoter import Promoter
 from toucandeald.repeating import call_every
 from toucandeald.server_pools import ServerPools
+from toucandeald.server_reports import ServerReports
 from toucandeald.session_service import SessionService
 from toucandeald.shared_state import SharedState, SharedTables
 from toucandeald.silent_proxies import SilentProxies
@@ -92,7 +94,8 @@
     confirmations.ask = lambda server: run(
         pools.ask_report(server, REPORT_WAIT_S)
     )
-    service = SessionService(reactor, tables, pools, confirmations, measures)
+    forwarding = Forwarding(tables, pools, confirmations)
+    service = SessionService(tables, forwarding, measures)
     stopping = StoppingWork(reactor, tables, pools, service, gossip)
     watch = PrimaryWatch(reactor, tables, ports.open_link)
     promoter = Promoter(
@@ -103,7 +106,7 @@
         gossip,
         watch,
         stopping,
-        ports.open_link,
+        ServerReports(tables, ports.open_link),
     )
     pools.on_suspicion = watch.suspect
     state.on_record = stopping.record_changed
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -9,11 +9,9 @@
 import secrets
 from typing import NamedTuple
 
-from twisted.internet import defer
-
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import GroupRecord, Server
-from toucandeal.fleet_tables import FleetTables, group_state, server_load
+from toucandeal.fleet_tables import FleetTables, group_state
 from toucandeal.permissions import lapsed_at, may_begin_promotion
 from toucandeal.promotion import (
     HOLDER_S,
@@ -27,15 +25,10 @@
 from toucandeald.faults import run
 from toucandeald.fleet_wire import Begun, RowCopy, Stopped
 from toucandeald.gossip import Gossip
-from toucandeald.link_pool import OpenLink
 from toucandeald.logs import log_event
 from toucandeald.primary_watch import PrimaryWatch
-from toucandeald.session_messages import (
-    AnswerKind,
-    ReportStatus,
-    ServerAnswer,
-    StepDown,
-)
+from toucandeald.server_reports import ServerReports
+from toucandeald.session_messages import StepDown
 from toucandeald.shared_records import (
     DUTY_KEY,
     RECORDS_TABLE,
@@ -59,7 +52,6 @@
 ASK_S = 0.1  # between requests that the peers stop
 LOOK_S = 0.005  # between looks at the answers of the peers
 STEP_S = 0.05  # between looks at what a step waits for
-REPORT_TIMEOUT_S = 0.3  # a handshake and a report, of a server in order
 REPORTS_S = 0.6  # for all replicas to report; then those that have count
 CATCH_UP_S = 1.5  # for a replica to receive all, where the primary is in order
 ORDER_TIMEOUT_S = 1.5  # for an answer to the order to promote
@@ -95,7 +87,7 @@
         gossip: Gossip,
         watch: PrimaryWatch,
         stopping: StoppingWork,
-        open_link: OpenLink,
+        reports: ServerReports,
     ) -> None:
         """Take the parts that the steps need."""
         self._stopping = stopping
@@ -105,7 +97,7 @@
         self._store = store
         self._gossip = gossip
         self._watch = watch
-        self._open_link = open_link
+        self._reports = reports
         self._running = False
         self._wanted_since: dict[str, float] = {}
         self._stopped: dict[str, dict[str, int]] = {}
@@ -206,7 +198,7 @@
         """Record the server that leads a group which has no record."""
         claims = self._claims(name)
         if len(claims) != 1:
-            reports = await self._reports(claims)
+            reports = await self._reports.gather(claims)
             claims = [
                 server
                 for server in claims
@@ -379,7 +371,7 @@
             for server in self._tables.servers.values()
             if server.group == record.group
         ]
-        reports = await self._reports(servers)
+        reports = await self._reports.gather(servers)
         leading = {
             name: report.term
             for name, report in reports.items()
@@ -407,7 +399,7 @@
         limit_s = CATCH_UP_S if planned else REPORTS_S
         while True:
             replicas = replicas_of(self._tables, record)
-            reports = await self._reports(replicas)
+            reports = await self._reports.gather(replicas)
             late = steady_seconds() - began_at >= limit_s
             primary = None
             if planned:
@@ -442,12 +434,12 @@
         primary = self._tables.servers.get(record.primary)
         if primary is None:
             return None
-        return (await self._reports([primary])).get(primary.name)
+        return (await self._reports.gather([primary])).get(primary.name)
 
     async def _step_down(self, record: GroupRecord, term: int) -> None:
         primary = self._tables.servers.get(record.primary)
         if primary is not None:
-            answer = await self._ask(primary, StepDown(term))
+            answer = await self._reports.ask(primary, StepDown(term))
             log_event(
                 'promotion',
                 group=record.group,
@@ -504,7 +496,7 @@
         """Wait until the chosen server leads, and return its term."""
         until = steady_seconds() + EFFECT_S
         while steady_seconds() < until:
-            report = (await self._reports([chosen])).get(chosen.name)
+            report = (await self._reports.gather([chosen])).get(chosen.name)
             if report is not None and report.is_primary:
                 return report.term
             await pause(self._clock, EFFECT_LOOK_S)
@@ -554,36 +546,3 @@
             term=term,
             first=not isinstance(outcome, Conflict),
         )
-
-    async def _reports(self, servers: list[Server]) -> dict[str, Reported]:
-        """Return the reports of the servers that answer."""
-        answers = await defer.gatherResults(
-            [defer.ensureDeferred(self._report(server)) for server in servers]
-        )
-        return {
-            server.name: report
-            for server, report in zip(servers, answers, strict=True)
-            if report is not None
-        }
-
-    async def _report(self, server: Server) -> Reported | None:
-        link = await self._open_link(server, REPORT_TIMEOUT_S)
-        if isinstance(link, ServerAnswer):
-            return None
-        answer = await link.call(ReportStatus(), REPORT_TIMEOUT_S)
-        link.close()
-        if answer.kind is not AnswerKind.COMPLETED:
-            return None
-        report = link.report(answer)
-        if report is not None:
-            load = server_load(self._tables, server.name)
-            load.received = max(load.received, report.received)
-        return report
-
-    async def _ask(self, server: Server, request) -> ServerAnswer:
-        link = await self._open_link(server, REPORT_TIMEOUT_S)
-        if isinstance(link, ServerAnswer):
-            return link
-        answer = await link.call(request, REPORT_TIMEOUT_S)
-        link.close()
-        return answer
