--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -15,4 +15,3 @@
     listen_peers: str
     listen_metrics: str
     stop_timeout_s: float
-    server_heartbeat_s: float
--- a/packages/toucandeald/src/toucandeald/measures.py
+++ b/packages/toucandeald/src/toucandeald/measures.py
@@ -29,12 +29,6 @@
             buckets=_BUCKETS_S,
             registry=self._registry,
         )
-        self._events = Counter(
-            'toucandeal_events',
-            'Changes in what the process believes',
-            ['event'],
-            registry=self._registry,
-        )
         self._gauges = Gauge(
             'toucandeal_state',
             'Sizes and versions that hold now',
@@ -52,10 +46,6 @@
         self._replies.labels(statement, outcome).inc()
         self._latency.labels(statement).observe(seconds)
 
-    def event(self, name: str) -> None:
-        """Count an event."""
-        self._events.labels(name).inc()
-
     def gauge(self, name: str, reading: float) -> None:
         """Set a gauge."""
         self._gauges.labels(name).set(reading)
