--- a/packages/toucandeal-standins/src/toucandeal_standins/process.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/process.py
@@ -22,20 +22,26 @@
 LAST_PORT = 32_000
 
 _PORTS = random.SystemRandom()
+_given_out: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a loopback port that is free now.
+    """Return a loopback port that is free now, another one each time.
 
     Notes
     -----
+    A port that was given out may be listened on later only.
+
     The port lies below those that the kernel gives to outgoing connections,
     or one of these could take it before it is listened on.
     """
     while True:
         port = _PORTS.randrange(FIRST_PORT, LAST_PORT)
+        if port in _given_out:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(('127.0.0.1', port))
+            _given_out.add(port)
             return port
 
 
