--- a/packages/toucandeal-standins/src/toucandeal_standins/process.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/process.py
@@ -1,12 +1,15 @@
 """Processes that this one starts, and blocking requests to them."""
 
 import contextlib
+import fcntl
+import functools
 import os
 import random
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from http import client
 from pathlib import Path
@@ -25,19 +28,35 @@
 _given_out: set[int] = set()
 
 
+@functools.cache
+def _reservations():
+    path = Path(tempfile.gettempdir()) / 'toucandeal-test-ports'
+    return path.open('a')
+
+
+def _reserve(port: int) -> bool:
+    """Lock the byte that stands for a port; return whether it was free."""
+    try:
+        fcntl.lockf(_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
 def free_port() -> int:
     """Return a loopback port that is free now, another one each time.
 
     Notes
     -----
-    A port that was given out may be listened on later only.
+    A port that was given out is listened on later, so it is remembered here,
+    and reserved against other test runs by a lock that ends with the process.
 
     The port lies below those that the kernel gives to outgoing connections,
     or one of these could take it before it is listened on.
     """
     while True:
         port = _PORTS.randrange(FIRST_PORT, LAST_PORT)
-        if port in _given_out:
+        if port in _given_out or not _reserve(port):
             continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(('127.0.0.1', port))
