Keep one copy of the clock, the pause, the set-up time-out and two checks

Found on reading the whole change again: app.monotonic was steady_seconds, the pause stood in two modules, SETUP_TIMEOUT_S in two, and two predicates twice; a row of permissions had the name of the callers' Statement. Behaviour as before.

--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_targets.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_targets.py
@@ -9,7 +9,7 @@
 from toucandeal.request_keys import Statement
 from toucandeal.results import DatabaseFailed, Lost, Ran, TargetRefused
 from toucandeal_standins.http_server import HttpError, serve
-from toucandeald.app import monotonic
+from toucandeald.steady_clock import steady_seconds
 from toucandeald.targets import Targets
 
 STATUS = {
@@ -110,7 +110,7 @@
 
 def _request(timeout_s):
     request_class = RequestClass('c', 'g', is_write=True)
-    now = monotonic()
+    now = steady_seconds()
     return Request(
         1, 'one', request_class, None, (Statement('x'),), NOTHING_SEEN,
         now, now + timeout_s,
@@ -130,7 +130,7 @@
         return behaviours.pop(0)(connection, raw)
 
     port = yield serve(reactor, 0, handle)
-    targets = Targets(reactor, monotonic, {})
+    targets = Targets(reactor, steady_seconds, {})
     targets.resize('t', f'127.0.0.1:{port.getHost().port}', 1)
     timeout_s = 0.2 if behaviour in {_silent, _late} else WAIT_S
     first = yield targets.execute(_request(timeout_s), 't', 3)
--- a/packages/toucandeal/src/toucandeal/permissions.py
+++ b/packages/toucandeal/src/toucandeal/permissions.py
@@ -40,7 +40,7 @@
 CONSENT_LIMIT_S = 10.0  # without the store; a newcomer waits as long
 
 
-class Statement(NamedTuple):
+class Stated(NamedTuple):
     """When a peer surely had not begun a promotion, in this clock."""
 
     incarnation: int
@@ -56,7 +56,7 @@
         self.store_as_of = -math.inf
         self.registered: dict[str, ProxyRecord] = {}
         self.registered_as_of = -math.inf
-        self.statements: dict[str, Statement] = {}
+        self.statements: dict[str, Stated] = {}
         self.begun: set[str] = set()
         self.joined_at = math.inf
 
@@ -123,7 +123,7 @@
     """Take in a peer's statement that it has begun no promotion."""
     known = permissions.statements.get(name)
     if known is None or known.incarnation != incarnation:
-        permissions.statements[name] = Statement(incarnation, as_of)
+        permissions.statements[name] = Stated(incarnation, as_of)
     elif as_of > known.as_of:
         permissions.statements[name] = known._replace(as_of=as_of)
 
--- a/packages/toucandeald/src/toucandeald/app.py
+++ b/packages/toucandeald/src/toucandeald/app.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import random
-import time
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -25,19 +24,15 @@
 from toucandeald.runtime import Runtime
 from toucandeald.settings import Settings
 from toucandeald.shutdown import Shutdown
+from toucandeald.steady_clock import steady_seconds
 from toucandeald.targets import Targets
 from toucandeald.web import CallerResource, Connections, listen
 
-__all__ = ['monotonic', 'running', 'start']
+__all__ = ['running', 'start']
 
 INCARNATIONS = 2_147_483_648
 
 
-def monotonic() -> float:
-    """Return seconds that also count while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Parts(NamedTuple):
     """What runs."""
 
@@ -65,12 +60,14 @@
     )
     routes = dict(route.split('=') for route in settings.routes)
     tables = Tables(identity, settings.policies)
-    tables.share_since = monotonic()
-    tables.ticked_at = monotonic()
+    tables.share_since = steady_seconds()
+    tables.ticked_at = steady_seconds()
     metrics = Metrics(settings.statsd)
-    targets = Targets(reactor, monotonic, routes)
-    runtime = Runtime(reactor, monotonic, tables, targets, metrics)
-    membership = MembershipSync(reactor, monotonic, runtime, settings.peers)
+    targets = Targets(reactor, steady_seconds, routes)
+    runtime = Runtime(reactor, steady_seconds, tables, targets, metrics)
+    membership = MembershipSync(
+        reactor, steady_seconds, runtime, settings.peers
+    )
     configuration = ConfigurationSync(
         reactor,
         runtime,
--- a/packages/toucandeald/src/toucandeald/confirmations.py
+++ b/packages/toucandeald/src/toucandeald/confirmations.py
@@ -7,8 +7,6 @@
 
 from collections.abc import Callable
 
-from twisted.internet import defer
-
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import (
     FleetTables,
@@ -19,7 +17,7 @@
 from toucandeal.positions import LogPosition
 from toucandeal.promotion import replicas_of
 from toucandeald.logs import log_event
-from toucandeald.steady_clock import steady_seconds
+from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = ['Confirmations']
 
@@ -57,7 +55,7 @@
             if waited_s >= ASK_AFTER_S:
                 retried = waited_s >= ASK_AFTER_S + ASK_AGAIN_S
                 self._ask_for_evidence(group, now, retried=retried)
-            await _pause(self._clock, CHECK_S)
+            await pause(self._clock, CHECK_S)
         return True
 
     def _ask_for_evidence(
@@ -86,11 +84,5 @@
         )
 
 
-def _pause(clock, seconds: float) -> defer.Deferred:
-    waited: defer.Deferred = defer.Deferred()
-    clock.callLater(seconds, waited.callback, None)
-    return waited
-
-
 def _ignore(server: Server) -> None:
     log_event('report not wanted', server=server.name)
--- a/packages/toucandeald/src/toucandeald/forwarding.py
+++ b/packages/toucandeald/src/toucandeald/forwarding.py
@@ -22,7 +22,7 @@
     reply,
     unknown_database,
 )
-from toucandeald.server_pools import ServerPools
+from toucandeald.server_pools import SETUP_TIMEOUT_S, ServerPools
 from toucandeald.session_messages import (
     AnswerKind,
     BeginTransaction,
@@ -43,7 +43,6 @@
 MAX_WRITE_ATTEMPTS = 3  # each only after a clear word that nothing ran
 READ_ATTEMPT_SHARE = 0.6  # of the aim, before a read is offered elsewhere
 MIN_READ_ATTEMPT_S = 0.12  # many times a read of a server in order
-SETUP_TIMEOUT_S = 0.5  # for a step that occupies no slot
 
 
 class Forwarding:
--- a/packages/toucandeald/src/toucandeald/primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -14,8 +14,7 @@
     ReportStatus,
     ServerAnswer,
 )
-from toucandeald.shared_state import pause
-from toucandeald.steady_clock import steady_seconds
+from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = ['PrimaryWatch']
 
@@ -37,9 +36,7 @@
 
     def suspect(self, server: Server, reason: str) -> None:
         """Check a server if it is its group's primary."""
-        record = group_state(self._tables, server.group).record
-        is_primary = record is not None and record.primary == server.name
-        if not is_primary or server.name in self._checking:
+        if server.name in self._checking or not self._is_primary(server):
             return
         log_event('suspected', server=server.name, reason=reason)
         self._checking.add(server.name)
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -37,14 +37,14 @@
     group_key,
     proxy_key,
 )
-from toucandeald.shared_state import SharedState, pause
+from toucandeald.shared_state import SharedState
 from toucandeald.shared_store import (
     Conflict,
     Precondition,
     PromoteAnswer,
     Put,
 )
-from toucandeald.steady_clock import steady_seconds
+from toucandeald.steady_clock import pause, steady_seconds
 from toucandeald.stopping_work import StoppingWork
 
 __all__ = ['Promoter']
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -28,7 +28,7 @@
 )
 from toucandeald.steady_clock import steady_seconds
 
-__all__ = ['ServerPools']
+__all__ = ['SETUP_TIMEOUT_S', 'ServerPools']
 
 SETUP_TIMEOUT_S = 0.5  # for a step that occupies no slot
 SHUN_S = 0.25  # a server that refused connections
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -59,16 +59,13 @@
 
     def went_idle(self, connection) -> None:
         """Close a connection between requests once the proxy is leaving."""
-        session = connection.session
-        if self.closing_idle and (session is None or session.state == 'idle'):
+        if self.closing_idle and _is_between(connection.session):
             connection.close()
 
     def close_idle_sessions(self) -> None:
         """Close the connections that are between requests."""
         for connection in list(self.connections):
-            session = connection.session
-            between = session is None or session.state == 'idle'
-            if connection.idle and between:
+            if connection.idle and _is_between(connection.session):
                 connection.close()
 
     def open(self, database: str, user: str) -> CallerSession | CallerReply:
@@ -201,6 +198,10 @@
         return reply(session, ReplyKind.DONE)
 
 
+def _is_between(session: CallerSession | None) -> bool:
+    return session is None or session.state == 'idle'
+
+
 def _change_session(
     session: CallerSession, statement: Statement
 ) -> CallerReply:
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from twisted.internet import defer
-
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import (
     FleetConfiguration,
@@ -42,9 +40,9 @@
     SharedRow,
     Snapshot,
 )
-from toucandeald.steady_clock import steady_seconds
+from toucandeald.steady_clock import pause, steady_seconds
 
-__all__ = ['SharedState', 'SharedTables', 'pause']
+__all__ = ['SharedState', 'SharedTables']
 
 FEED_WAIT_S = 2.0  # a connection that died silently is noticed after this
 LONG_FEED_WAIT_S = 10.0  # of the proxies that also hear changes from others
@@ -81,13 +79,6 @@
         """Write rows under preconditions."""
 
 
-def pause(clock, seconds: float) -> defer.Deferred:
-    """Return a Deferred that fires after `seconds`."""
-    waited: defer.Deferred = defer.Deferred()
-    clock.callLater(seconds, waited.callback, None)
-    return waited
-
-
 class SharedState:
     """What this proxy has read of the shared tables."""
 
--- a/packages/toucandeald/src/toucandeald/steady_clock.py
+++ b/packages/toucandeald/src/toucandeald/steady_clock.py
@@ -6,7 +6,9 @@
 
 import time
 
-__all__ = ['steady_seconds', 'use_steady_clock']
+from twisted.internet import defer
+
+__all__ = ['pause', 'steady_seconds', 'use_steady_clock']
 
 
 def steady_seconds() -> float:
@@ -20,3 +22,10 @@
     Call it before anything is scheduled.
     """
     reactor.seconds = steady_seconds
+
+
+def pause(clock, seconds: float) -> defer.Deferred:
+    """Return a Deferred that fires after `seconds`."""
+    waited: defer.Deferred = defer.Deferred()
+    clock.callLater(seconds, waited.callback, None)
+    return waited
--- a/packages/toucandeald/src/toucandeald/stopping_work.py
+++ b/packages/toucandeald/src/toucandeald/stopping_work.py
@@ -9,8 +9,7 @@
 from toucandeald.server_pools import ServerPools
 from toucandeald.session_service import SessionService
 from toucandeald.shared_records import group_key
-from toucandeald.shared_state import pause
-from toucandeald.steady_clock import steady_seconds
+from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = ['StoppingWork']
 
