Share a server's connections by demand, and order who waits for one

Cause: each proxy held an equal share of a server's connections while callers are spread unevenly, and statements waited first come first served for up to 0.6 of their objective.

Change: beats tell how many connections a proxy could use at each server; 0.3 of the limit is shared equally, the rest by that demand. Idle connections that nobody needs are closed, since those of a dead proxy stay open for a while. Waiting statements are ordered by priority, fairly among databases, and what is late goes last; who would wait for too long is refused at once. Refusals name a delay that adapts to 0.25 refusals for each served statement.

--- a/packages/toucandeal/src/toucandeal/backoff.py
+++ b/packages/toucandeal/src/toucandeal/backoff.py
@@ -11,7 +11,14 @@
 import random
 from typing import NamedTuple
 
-__all__ = ['Backoff', 'adapt', 'count_refused', 'count_served', 'retry_delay']
+__all__ = [
+    'Backoff',
+    'adapt',
+    'count_refused',
+    'count_served',
+    'is_overloaded',
+    'retry_delay',
+]
 
 PERIOD_S = 0.25
 SHORTEST_S = 0.1
@@ -39,9 +46,17 @@
     return backoff._replace(served=backoff.served + 1)
 
 
-def adapt(backoff: Backoff, now: float) -> Backoff:
+def adapt(backoff: Backoff, now: float, wanted: float = 1.0) -> Backoff:
     """Return the state at `now`, with a new delay where a period has ended.
 
+    Parameters
+    ----------
+    backoff : Backoff
+    now : float
+        Seconds.
+    wanted : float
+        Refusals for each served request that the delay is adapted to.
+
     Examples
     --------
     >>> adapt(Backoff(1.0, refused=300, served=200, since=0), 0.3).delay_s
@@ -51,12 +66,23 @@
     """
     if now - backoff.since < PERIOD_S:
         return backoff
-    ratio = backoff.refused / max(backoff.served, 1)
+    ratio = backoff.refused / max(backoff.served, 1) / wanted
     factor = min(max(ratio, 1 / STEEPEST), STEEPEST)
     delay = min(max(backoff.delay_s * factor, SHORTEST_S), LONGEST_S)
     return Backoff(delay, since=now)
 
 
+def is_overloaded(backoff: Backoff) -> bool:
+    """Return whether too much has been refused for some time.
+
+    Examples
+    --------
+    >>> is_overloaded(Backoff()), is_overloaded(Backoff(0.5))
+    (False, True)
+    """
+    return backoff.delay_s > SHORTEST_S * STEEPEST
+
+
 def retry_delay(backoff: Backoff, generator: random.Random) -> float:
     """Return after how many seconds a caller that is refused may return."""
     return backoff.delay_s * generator.uniform(*SPREAD)
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -1,8 +1,11 @@
 """The tables of a proxy that serves interactive sessions."""
 
 import math
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
+from toucandeal.backoff import Backoff
 from toucandeal.fleet import FleetConfiguration, GroupRecord, Server
 from toucandeal.permissions import Permissions, may_work_with_primary
 from toucandeal.positions import NOTHING_SEEN, LogPosition
@@ -28,12 +31,16 @@
 
 
 class ServerLoad:
-    """What this proxy has observed of a server."""
+    """What this proxy has observed of a server.
+
+    `demand` is the number of connections that it could use.
+    """
 
     def __init__(self) -> None:
         """Start without observations."""
         self.in_flight = 0
         self.waiting = 0
+        self.demand = 0.0
         self.latency_s = FIRST_LATENCY_S
         self.held: LogPosition = NOTHING_SEEN
         self.received: LogPosition = NOTHING_SEEN
@@ -54,7 +61,8 @@
     `epoch` changes whenever primary work that is under way must no longer be
     acknowledged. `term_start` is the lowest position that a primary of the
     present term has been seen at. Work that is under way when a planned
-    promotion begins may end until `work_until`.
+    promotion begins may end until `work_until`. `backoff` tells refused callers
+    when to come back.
     """
 
     def __init__(self, name: str) -> None:
@@ -65,10 +73,14 @@
         self.history: History = []
         self.term_start: LogPosition = NOTHING_SEEN
         self.work_until = math.inf
+        self.backoff = Backoff()
 
 
 class PeerView(NamedTuple):
-    """Another proxy, as its last message describes it."""
+    """Another proxy, as its last message describes it.
+
+    `demands` is how many connections it could use, by server.
+    """
 
     name: str
     incarnation: int
@@ -77,6 +89,7 @@
     draining: bool
     counts_me: bool
     primary_heard: dict[str, float]
+    demands: Mapping[str, float] = MappingProxyType({})
 
 
 class FleetTables:
--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -22,7 +22,6 @@
 __all__ = [
     'Place',
     'Refuse',
-    'connection_share',
     'place_read',
     'place_write',
 ]
@@ -32,7 +31,6 @@
 REMOTE_COST = 1.3  # of a server in another failure domain
 PROMOTION_RETRY_S = 0.6  # the usual length of a promotion
 SHORT_RETRY_S = 0.1
-RESERVED_SHARE = 0.1  # of a server's connections, for views that differ
 
 
 class Place(NamedTuple):
@@ -52,17 +50,6 @@
     retry_after_s: float
 
 
-def connection_share(limit: int, proxies: int) -> int:
-    """Return how many connections one proxy opens to a server.
-
-    Examples
-    --------
-    >>> [connection_share(16, proxies) for proxies in (1, 4, 7)]
-    [14, 3, 2]
-    """
-    return max(int(limit * (1 - RESERVED_SHARE)) // max(proxies, 1), 1)
-
-
 def place_write(
     tables: FleetTables, route: Route, now: float
 ) -> Place | Refuse:
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -7,7 +7,6 @@
 from toucandeal.placement import (
     Place,
     Refuse,
-    connection_share,
     place_read,
     place_write,
 )
@@ -146,7 +145,3 @@
         server_load(tables, name).in_flight = 5
     place = _read(tables)
     assert isinstance(place, Place) and place.server.name == 'a'
-
-
-def test_at_least_one_connection_is_allowed():
-    assert connection_share(16, 300) == 1
--- /dev/null
+++ b/packages/toucandeal/src/toucandeal/tests/test_statement_queue.py
@@ -0,0 +1,107 @@
+"""Who gets the next connection, and who may wait."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from toucandeal.statement_queue import (
+    Claim,
+    Service,
+    StatementQueue,
+    WaitingStatement,
+    enter,
+    expected_wait_s,
+    first_in_line,
+    is_worth_waiting,
+    leave,
+)
+
+SERVICE = Service(2, 0.02)
+
+
+def _enter(queue, identity, priority=1, database='a', late_at=5.0):
+    claim = Claim(priority, database, late_at, late_at + 1)
+    statement = WaitingStatement(claim, identity)
+    enter(queue, statement)
+    return statement
+
+
+def _served(queue, now, count):
+    order = []
+    for _ in range(count):
+        first = first_in_line(queue, now)
+        leave(queue, first, served=True)
+        order.append(first.identity)
+    return order
+
+
+def test_urgent_statements_go_first():
+    queue = StatementQueue()
+    _enter(queue, 1, priority=2)
+    _enter(queue, 2, priority=0)
+    _enter(queue, 3, priority=1)
+    assert _served(queue, 0.0, 3) == [2, 3, 1]
+
+
+def test_the_nearest_objective_goes_first():
+    queue = StatementQueue()
+    _enter(queue, 1, late_at=7.0)
+    _enter(queue, 2, late_at=6.0)
+    assert _served(queue, 0.0, 2) == [2, 1]
+
+
+def test_a_database_that_sends_more_waits_for_itself():
+    queue = StatementQueue()
+    for number in range(10):
+        _enter(queue, number, database='busy', late_at=1.0)
+    _enter(queue, 99, database='quiet', late_at=4.0)
+    assert 99 in _served(queue, 0.0, 2)
+
+
+def test_a_backlog_does_not_make_the_rest_late():
+    queue = StatementQueue()
+    for number in range(5):
+        _enter(queue, number, late_at=1.0)
+    _enter(queue, 99, priority=2, late_at=3.0)
+    assert _served(queue, 2.0, 6) == [99, 0, 1, 2, 3, 4]
+
+
+def test_who_gives_up_does_not_count_as_served():
+    queue = StatementQueue()
+    leave(queue, _enter(queue, 1, database='a'), served=False)
+    _enter(queue, 2, database='a', late_at=5.0)
+    _enter(queue, 3, database='b', late_at=6.0)
+    assert _served(queue, 0.0, 2) == [2, 3]
+
+
+def test_a_late_statement_expects_to_go_last():
+    queue = StatementQueue()
+    for number in range(20):
+        _enter(queue, number, late_at=9.0)
+    early = Claim(1, 'a', 4.0, 5.0)
+    assert expected_wait_s(queue, early, SERVICE, 3.0) == 0.01
+    assert expected_wait_s(queue, early, SERVICE, 4.5) == 21 * 0.01
+
+
+def test_what_is_of_no_use_in_time_is_refused():
+    queue = StatementQueue()
+    for number in range(100):
+        _enter(queue, number, late_at=1.0)
+    assert not is_worth_waiting(queue, Claim(1, 'a', 1.5, 1.9), SERVICE, 1.0)
+    assert is_worth_waiting(queue, Claim(0, 'a', 1.5, 1.9), SERVICE, 1.0)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 2), st.sampled_from('abc'), st.floats(0, 10)),
+        max_size=30,
+    ),
+    st.floats(0, 10),
+)
+def test_everybody_is_served_once_and_in_time_first(entries, now):
+    queue = StatementQueue()
+    for identity, (priority, database, late_at) in enumerate(entries):
+        _enter(queue, identity, priority, database, late_at)
+    order = _served(queue, now, len(entries))
+    assert sorted(order) == list(range(len(entries)))
+    late = [entries[identity][2] <= now for identity in order]
+    assert late == sorted(late) and not queue
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -94,7 +94,7 @@
     confirmations.ask = lambda server: run(
         pools.ask_report(server, REPORT_WAIT_S)
     )
-    forwarding = Forwarding(tables, pools, confirmations)
+    forwarding = Forwarding(tables, pools, confirmations, random.Random())
     service = SessionService(tables, forwarding, measures)
     stopping = StoppingWork(reactor, tables, pools, service, gossip)
     watch = PrimaryWatch(reactor, tables, ports.open_link)
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -23,6 +23,7 @@
     `basis_age` is the age of the sender's last read of the shared records,
     and `states_none_begun` its statement that it has begun no promotion;
     both are only for an addressee that it counts among the proxies.
+    `demands` is how many connections the sender could use, by server.
     """
 
     sender: str
@@ -40,6 +41,7 @@
     configuration_version: int
     servers_version: int
     primary_heard: dict[str, float]
+    demands: dict[str, float]
 
 
 class RowCopy(msgspec.Struct, array_like=True):
--- a/packages/toucandeald/src/toucandeald/forwarding.py
+++ b/packages/toucandeald/src/toucandeald/forwarding.py
@@ -4,11 +4,21 @@
 surely did not run is sent again.
 """
 
+import random
+
+from toucandeal.backoff import (
+    adapt,
+    count_refused,
+    count_served,
+    is_overloaded,
+    retry_delay,
+)
 from toucandeal.caller_sessions import CallerSession, OpenTransaction
-from toucandeal.fleet import Statement, Verb
-from toucandeal.fleet_tables import FleetTables, group_state
+from toucandeal.fleet import Server, Statement, Verb
+from toucandeal.fleet_tables import FleetTables, group_state, server_load
 from toucandeal.permissions import basis_ends_at
 from toucandeal.placement import Place, Refuse, place_read, place_write
+from toucandeal.statement_queue import Claim
 from toucandeald.confirmations import Confirmations
 from toucandeald.faults import log_fault
 from toucandeald.logs import log_event
@@ -42,6 +52,7 @@
 FULL_READ_ATTEMPT = 3  # from this one on, an attempt has all the time left
 MAX_WRITE_ATTEMPTS = 3  # each only after a clear word that nothing ran
 READ_ATTEMPT_SHARE = 0.6  # of the aim, before a read is offered elsewhere
+WANTED_REFUSALS = 0.25  # for each served statement, before callers are put off
 MIN_READ_ATTEMPT_S = 0.12  # many times a read of a server in order
 
 
@@ -56,12 +67,14 @@
         tables: FleetTables,
         pools: ServerPools,
         confirmations: Confirmations,
+        generator: random.Random,
     ) -> None:
-        """Take the connections, and what confirms writes."""
+        """Take the connections, what confirms writes, and luck."""
         self.primary_work: dict[str, int] = {}
         self._tables = tables
         self._pools = pools
         self._confirmations = confirmations
+        self._generator = generator
 
     async def forward(
         self,
@@ -90,14 +103,30 @@
         if statement.verb is not Verb.EXECUTE:
             prepared = None
         call = Call(session, identity, statement, prepared, route, began_at)
+        if opened is None and statement.verb is Verb.COMMIT:
+            return reply(session, ReplyKind.MALFORMED, 'no transaction is open')
+        return self._paced(call, await self._run(call, opened))
+
+    async def _run(
+        self, call: Call, opened: OpenTransaction | None
+    ) -> CallerReply:
         if opened is not None:
             return await self._run_in_transaction(call, opened)
-        if statement.verb is Verb.COMMIT:
-            return reply(session, ReplyKind.MALFORMED, 'no transaction is open')
         if call.writes:
             return await self._run_write(call)
         return await self._run_read(call)
 
+    def _paced(self, call: Call, answer: CallerReply) -> CallerReply:
+        """Say in a refusal when to come back, for all to be served."""
+        group = group_state(self._tables, call.route.group)
+        group.backoff = adapt(group.backoff, steady_seconds(), WANTED_REFUSALS)
+        if answer.kind not in {ReplyKind.REFUSED, ReplyKind.ABORTED}:
+            group.backoff = count_served(group.backoff)
+            return answer
+        group.backoff = count_refused(group.backoff)
+        delay_s = retry_delay(group.backoff, self._generator)
+        return answer._replace(retry_after_s=max(answer.retry_after_s, delay_s))
+
     async def _run_read(self, call: Call) -> CallerReply:
         """Run a single read, on another server where one falls short."""
         tried: frozenset[str] = frozenset()
@@ -212,7 +241,10 @@
             reason=place.reason,
         )
         link = await self._pools.acquire(
-            server, call.session, call.shapes, min(call.patience_s, timeout_s)
+            server,
+            call.session,
+            call.shapes,
+            self._claim(call, server, timeout_s),
         )
         if link is None:
             return no_connection()
@@ -231,6 +263,15 @@
             self._pools.release(server, link)
         return answer
 
+    def _claim(self, call: Call, server: Server, timeout_s: float) -> Claim:
+        """Return until when a connection leaves time for an answer."""
+        latency_s = server_load(self._tables, server.name).latency_s
+        ends_at = min(call.deadline_at, steady_seconds() + timeout_s)
+        group = group_state(self._tables, server.group)
+        if is_overloaded(group.backoff):
+            ends_at = min(ends_at, call.began_at + call.route.aim_s)
+        return call.claim(latency_s, ends_at)
+
     async def _run_in_transaction(
         self, call: Call, opened: OpenTransaction
     ) -> CallerReply:
@@ -298,7 +339,12 @@
             reason=place.reason,
         )
         link = await self._pools.acquire(
-            place.server, call.session, call.shapes, call.patience_s
+            place.server,
+            call.session,
+            call.shapes,
+            self._claim(
+                call, place.server, call.deadline_at - steady_seconds()
+            ),
         )
         if link is None:
             return no_connection()
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -25,6 +25,7 @@
 BEAT_S = 0.25
 PEER_SILENT_S = 1.0  # then it counts as not live
 PEER_FORGOTTEN_S = 30.0
+LEAST_DEMAND = 0.1  # of a connection; less is not worth telling
 
 
 class Gossip:
@@ -58,8 +59,13 @@
         addresses = self.addresses()
         self.sockets.keep_only(set(addresses.values()))
         counted = counted_proxies(self._tables.permissions)
+        demands = {
+            server: round(load.demand, 1)
+            for server, load in self._tables.loads.items()
+            if load.demand > LEAST_DEMAND and server in self._tables.servers
+        }
         for name, address in addresses.items():
-            self._send_beat(name, address, now, counted)
+            self._send_beat(name, address, now, counted, demands)
 
     def addresses(self) -> dict[str, str]:
         """Return the peers that are registered or heard, and where."""
@@ -109,7 +115,12 @@
         return self._state.records.values()
 
     def _send_beat(
-        self, name: str, address: str, now: float, counted: set[str]
+        self,
+        name: str,
+        address: str,
+        now: float,
+        counted: set[str],
+        demands: dict[str, float],
     ) -> None:
         heard = self._heard.get(name)
         permissions = self._tables.permissions
@@ -137,6 +148,7 @@
                 ),
                 servers_version=self._state.servers_version,
                 primary_heard=self._primary_heard(now),
+                demands=demands,
             ),
         )
 
@@ -167,6 +179,7 @@
             beat.draining,
             beat.counts_addressee,
             {name: now - age for name, age in beat.primary_heard.items()},
+            beat.demands,
         )
         if beat.echo_incarnation == self._own.incarnation:
             self._rest_on(beat, beat.echo + beat.echo_held)
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -9,6 +9,7 @@
     apply_step,
     setup_steps,
 )
+from toucandeal.connection_shares import connection_share, decayed_demand
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import (
     FleetTables,
@@ -16,7 +17,7 @@
     server_load,
 )
 from toucandeal.permissions import counted_proxies
-from toucandeal.placement import connection_share
+from toucandeal.statement_queue import Claim
 from toucandeald.link_pool import LinkPool, OpenLink
 from toucandeald.logs import log_event
 from toucandeald.session_messages import (
@@ -79,23 +80,27 @@
         for server in tables.servers.values():
             if server.group in tables.configuration.groups:
                 pool = self.pool(server)
+                load = server_load(tables, server.name)
+                load.demand = decayed_demand(load.demand, pool.peak)
+                pool.begin_period()
                 self._limit(pool)
-                pool.trim()
-                pool.warm(0 if server.leaving else WARM_LINKS)
+                warm = 0 if server.leaving else WARM_LINKS
+                pool.trim(warm)
+                pool.warm(warm)
 
     async def acquire(
         self,
         server: Server,
         session: CallerSession,
         shapes: list[PreparedShape],
-        wait_s: float,
+        claim: Claim,
     ):
         """Return a connection that fits the session, or None."""
         load = server_load(self._tables, server.name)
         pool = self.pool(server)
         load.waiting += 1
         try:
-            link = await pool.acquire(session.values, shapes, wait_s)
+            link = await pool.acquire(session.values, shapes, claim)
         finally:
             load.waiting -= 1
         if link is None:
@@ -144,7 +149,9 @@
     async def ask_report(self, server: Server, wait_s: float) -> None:
         """Ask a server how much it has received."""
         pool = self.pool(server)
-        link = await pool.acquire({}, [], wait_s)
+        now = steady_seconds()
+        claim = Claim(0, '', now + wait_s, now + wait_s)
+        link = await pool.acquire({}, [], claim)
         if link is None:
             return
         answer = await self.call(server, link, ReportStatus(), wait_s)
@@ -186,8 +193,11 @@
             return
         declared = configuration.groups.get(pool.server.group)
         if declared is not None:
-            proxies = len(counted_proxies(self._tables.permissions))
-            pool.limit = connection_share(declared.connection_limit, proxies)
+            pool.limit = connection_share(
+                declared.connection_limit,
+                _demands(self._tables, pool.server),
+                self._tables.name,
+            )
 
     def _answered(
         self, server: Server, answer: ServerAnswer, sent_at: float, now: float
@@ -223,5 +233,17 @@
             self.on_suspicion(server, refusal.reason)
 
 
+def _demands(tables: FleetTables, server: Server) -> dict[str, float]:
+    """Return what each counted proxy could use of a server."""
+    own = server_load(tables, server.name).demand
+    told = {
+        name: tables.peers[name].demands.get(server.name, 0)
+        for name in counted_proxies(tables.permissions)
+        if name in tables.peers
+    }
+    untold = dict.fromkeys(counted_proxies(tables.permissions), 0)
+    return untold | told | {tables.name: own}
+
+
 def _ignore(server: Server, reason: str) -> None:
     log_event('suspicion ignored', server=server.name, reason=reason)
--- a/packages/toucandeald/src/toucandeald/statement_calls.py
+++ b/packages/toucandeald/src/toucandeald/statement_calls.py
@@ -6,10 +6,11 @@
 
 from toucandeal.caller_sessions import CallerSession, PreparedShape
 from toucandeal.fleet import Route, Statement
+from toucandeal.statement_queue import Claim
 
 __all__ = ['Call', 'counted']
 
-PATIENCE_SHARE = 0.6  # of the aim, that a statement may wait for a connection
+PATIENCE_SHARE = 0.6  # of the aim, in which a statement may be tried again
 
 
 @contextlib.contextmanager
@@ -52,5 +53,22 @@
 
     @property
     def patience_s(self) -> float:
-        """Return how long it may wait for a connection."""
+        """Return for how long it may be tried again after a refusal."""
         return self.route.aim_s * PATIENCE_SHARE
+
+    def claim(self, latency_s: float, ends_at: float) -> Claim:
+        """Return what a connection is worth to it.
+
+        Parameters
+        ----------
+        latency_s : float
+            From having a connection to the answer.
+        ends_at : float
+            When an answer is of no use any more.
+        """
+        return Claim(
+            self.route.priority,
+            self.route.database,
+            self.began_at + self.route.aim_s - latency_s,
+            ends_at - latency_s,
+        )
--- a/packages/toucandeald/src/toucandeald/steady_clock.py
+++ b/packages/toucandeald/src/toucandeald/steady_clock.py
@@ -4,16 +4,35 @@
 only runs forward and also counts while the machine is suspended.
 """
 
+import contextlib
 import time
+from collections.abc import Callable, Iterator
 
 from twisted.internet import defer
 
-__all__ = ['pause', 'steady_seconds', 'use_steady_clock']
+__all__ = ['pause', 'steady_seconds', 'use_steady_clock', 'virtual_time']
+
+
+def _seconds_since_boot() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+_sources: list[Callable[[], float]] = [_seconds_since_boot]
 
 
 def steady_seconds() -> float:
     """Return seconds that also count while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return _sources[-1]()
+
+
+@contextlib.contextmanager
+def virtual_time(seconds: Callable[[], float]) -> Iterator[None]:
+    """Let `seconds` be the clock of all decisions, for models and tests."""
+    _sources.append(seconds)
+    try:
+        yield
+    finally:
+        _sources.pop()
 
 
 def use_steady_clock(reactor) -> None:
