Send copies in turns, and ask full servers over pooled connections

Change: a peer that is behind is left 0.5 s for the store; then one proxy after another sends a copy, in an order that differs from peer to peer, and not again within 3 s. Records travel without the list of proxies, which peers never took over. Reports and orders to servers go over a pooled connection first. A feed that the store turns away is asked again after up to 0.6 s instead of 0.15 s.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -68,7 +68,7 @@
         self.pools = ServerPools(clock, tables, self._open_link)
         confirmations = Confirmations(clock, tables)
         confirmations.ask = lambda server: run(
-            self.pools.ask_report(server, REPORT_WAIT_S)
+            self.pools.report(server, REPORT_WAIT_S)
         )
         forwarding = Forwarding(
             tables, self.pools, confirmations, around.generator
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
@@ -189,17 +189,6 @@
             self._server.clock.callLater(lingers_s, self._dropped)
             self.on_closed(self)
 
-    def report(self, answer: ServerAnswer) -> Reported | None:
-        """Decode the server's report of itself."""
-        if answer.kind is not AnswerKind.COMPLETED:
-            return None
-        return Reported(
-            self._server.leads,
-            self._server.group.term,
-            answer.position,
-            answer.position,
-        )
-
     def _dropped(self) -> None:
         self._server.connections -= 1
 
@@ -229,7 +218,15 @@
             if refusal is not None:
                 return refusal
         self._apply(request)
-        return self._answer(AnswerKind.COMPLETED, '')
+        answer = self._answer(AnswerKind.COMPLETED, '')
+        if isinstance(request, ReportStatus):
+            return answer._replace(report=self._report())
+        return answer
+
+    def _report(self) -> Reported:
+        server = self._server
+        held = server.applied
+        return Reported(server.leads, server.group.term, held, held)
 
     def _seconds(self, request: LinkRequest) -> float:
         match request:
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -91,9 +91,7 @@
     gossip = Gossip(tables, state, own)
     pools = ServerPools(reactor, tables, ports.open_link)
     confirmations = Confirmations(reactor, tables)
-    confirmations.ask = lambda server: run(
-        pools.ask_report(server, REPORT_WAIT_S)
-    )
+    confirmations.ask = lambda server: run(pools.report(server, REPORT_WAIT_S))
     forwarding = Forwarding(tables, pools, confirmations, random.Random())
     service = SessionService(tables, forwarding, measures)
     stopping = StoppingWork(reactor, tables, pools, service, gossip)
@@ -106,7 +104,7 @@
         gossip,
         watch,
         stopping,
-        ServerReports(tables, ports.open_link),
+        ServerReports(pools, ports.open_link),
     )
     pools.on_suspicion = watch.suspect
     state.on_record = stopping.record_changed
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -1,7 +1,14 @@
 """Beats between proxies: who lives, what they rest on, and what they lack."""
 
+import math
 from collections.abc import Callable, Iterable
 
+from toucandeal.copy_turns import (
+    CopyPace,
+    Lacking,
+    copy_is_due,
+    copy_rank,
+)
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables, PeerView, server_load
 from toucandeal.permissions import PeerWord, counted_proxies, rest_on
@@ -16,6 +23,7 @@
 )
 from toucandeald.logs import log_event
 from toucandeald.peers import PeerSockets
+from toucandeald.shared_records import proxy_key
 from toucandeald.shared_state import SharedState
 from toucandeald.shared_store import SharedRow
 from toucandeald.steady_clock import steady_seconds
@@ -25,6 +33,14 @@
 BEAT_S = 0.25
 PEER_SILENT_S = 1.0  # then it counts as not live
 PEER_FORGOTTEN_S = 30.0
+TURN_S = 0.1  # between the proxies that may send a peer a copy
+RECORDS_TURN_S = 0.05  # a permission rests on the records
+RECORDS_AGAIN_S = 0.4  # more than a beat and the way to the peer
+STORE_TIME_S = 0.5  # for a peer to read the store itself, on a narrow link
+COPY_AGAIN_S = 3.0  # a copy of 256 KB takes half a second on the narrowest link
+RECORDS = CopyPace(0, RECORDS_TURN_S, RECORDS_AGAIN_S)
+CONFIGURATION = CopyPace(STORE_TIME_S, 2 * TURN_S, COPY_AGAIN_S)
+SERVERS = CopyPace(STORE_TIME_S, TURN_S, COPY_AGAIN_S)
 LEAST_DEMAND = 0.1  # of a connection; less is not worth telling
 
 
@@ -43,6 +59,7 @@
         self._state = state
         self._own = own
         self._heard: dict[str, tuple[Beat, float]] = {}
+        self._lacking: dict[tuple[str, CopyPace], Lacking] = {}
 
     @property
     def own_address(self) -> str:
@@ -112,7 +129,12 @@
             self.send(address, copy)
 
     def _record_rows(self) -> Iterable[SharedRow]:
-        return self._state.records.values()
+        """Return the rows that peers take in; proxies read their own list."""
+        return [
+            row
+            for key, row in self._state.records.items()
+            if not key.startswith(proxy_key(''))
+        ]
 
     def _send_beat(
         self,
@@ -203,29 +225,52 @@
             )
 
     def _complete(self, beat: Beat) -> None:
-        """Send a peer what it lacks."""
+        """Send a peer what it lacks, when it is this proxy's turn."""
         name = self._own.name
         state = self._state
-        if beat.records_version < state.records_version:
+        configuration = self._tables.configuration
+        version = 0 if configuration is None else configuration.version
+        if self._copy_is_due(
+            beat, RECORDS, beat.records_version < state.records_version
+        ):
             self.send(
                 beat.address, RecordsCopy(name, _copies(self._record_rows()))
             )
-        configuration = self._tables.configuration
-        if (
-            configuration is not None
-            and beat.configuration_version < configuration.version
+        if self._copy_is_due(
+            beat, CONFIGURATION, beat.configuration_version < version
         ):
             self.send(
                 beat.address,
                 ConfigurationCopy(name, state.configuration_content),
             )
-        if beat.servers_version < state.servers_version:
+        if self._copy_is_due(
+            beat, SERVERS, beat.servers_version < state.servers_version
+        ):
             rows = [row for row in state.servers.values() if not row.removed]
             self.send(
                 beat.address,
                 ServersCopy(name, state.servers_version, _copies(rows)),
             )
 
+    def _copy_is_due(self, beat: Beat, pace: CopyPace, behind: bool) -> bool:
+        known = (beat.sender, pace)
+        if not behind:
+            self._lacking.pop(known, None)
+            return False
+        now = steady_seconds()
+        lacking = self._lacking.setdefault(known, Lacking(now, -math.inf))
+        # Nobody else may have what this proxy has just read.
+        reads = pace is RECORDS and self._state.reads_records(now)
+        rank = (
+            0
+            if reads
+            else copy_rank(self._own.name, beat.sender, self._tables.peers)
+        )
+        due = copy_is_due(lacking, rank, pace, now)
+        if due:
+            self._lacking[known] = lacking._replace(sent_at=now)
+        return due
+
 
 def _copies(rows: Iterable[SharedRow]) -> list[RowCopy]:
     return [RowCopy(row.key, row.content, row.version) for row in rows]
--- a/packages/toucandeald/src/toucandeald/link_pool.py
+++ b/packages/toucandeald/src/toucandeald/link_pool.py
@@ -92,9 +92,11 @@
         all are busy, the statement waits unless that is surely of no use.
         """
         link = self._take_idle(values, shapes)
+        if link is None:
+            self._open_more()
+            link = self._take_idle(values, shapes)
         if link is not None:
             return link
-        self._open_more()
         now = self._clock.seconds()
         if not self.size or not self._is_worth_waiting(claim):
             return None
--- a/packages/toucandeald/src/toucandeald/primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -6,14 +6,12 @@
 
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import FleetTables, group_state, server_load
+from toucandeal.promotion import Reported
 from toucandeald.faults import run
 from toucandeald.link_pool import OpenLink
 from toucandeald.logs import log_event
-from toucandeald.session_messages import (
-    AnswerKind,
-    ReportStatus,
-    ServerAnswer,
-)
+from toucandeald.server_reports import ask_alone
+from toucandeald.session_messages import AnswerKind, ReportStatus
 from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = ['PrimaryWatch']
@@ -77,21 +75,18 @@
         return record is not None and record.primary == server.name
 
     async def _is_silent(self, server: Server) -> bool:
-        opened = await self._open_link(server, CHECK_TIMEOUT_S)
+        answer = await ask_alone(
+            self._open_link, server, ReportStatus(), CHECK_TIMEOUT_S
+        )
+        if answer.kind in {AnswerKind.LOST, AnswerKind.WRONG_SERVER}:
+            return True
+        self._note_role(server, answer.report)
         load = server_load(self._tables, server.name)
-        if isinstance(opened, ServerAnswer):
-            if opened.kind in {AnswerKind.LOST, AnswerKind.WRONG_SERVER}:
-                return True
-        else:
-            await self._ask_role(server, opened)
         load.heard_at = steady_seconds()
         load.unreachable_since = None
         return False
 
-    async def _ask_role(self, server: Server, link) -> None:
-        answer = await link.call(ReportStatus(), CHECK_TIMEOUT_S)
-        report = link.report(answer)
-        link.close()
+    def _note_role(self, server: Server, report: Reported | None) -> None:
         if report is None:
             return
         if report.is_primary:
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -17,6 +17,7 @@
     server_load,
 )
 from toucandeal.permissions import counted_proxies
+from toucandeal.promotion import Reported
 from toucandeal.statement_queue import Claim
 from toucandeald.link_pool import LinkPool, OpenLink
 from toucandeald.logs import log_event
@@ -34,6 +35,7 @@
 SETUP_TIMEOUT_S = 0.5  # for a step that occupies no slot
 SHUN_S = 0.25  # a server that refused connections
 LAGGING_S = 0.06  # before a replica that lagged is tried again
+OWN_PRIORITY = -1  # of this proxy's own requests, before all callers'
 WARM_LINKS = 2  # for each server, so that a failover needs no handshakes
 
 
@@ -146,20 +148,30 @@
             load.observe_latency(now - sent_at)
         return answer
 
-    async def ask_report(self, server: Server, wait_s: float) -> None:
-        """Ask a server how much it has received."""
+    async def ask(
+        self, server: Server, request: LinkRequest, wait_s: float
+    ) -> ServerAnswer | None:
+        """Send a request of this proxy's own, before all statements.
+
+        Returns
+        -------
+        ServerAnswer or None
+            None where no connection was free in time.
+        """
         pool = self.pool(server)
         now = steady_seconds()
-        claim = Claim(0, '', now + wait_s, now + wait_s)
+        claim = Claim(OWN_PRIORITY, '', now + wait_s, now + wait_s)
         link = await pool.acquire({}, [], claim)
         if link is None:
-            return
-        answer = await self.call(server, link, ReportStatus(), wait_s)
+            return None
+        answer = await self.call(server, link, request, wait_s)
         self.release(server, link)
-        report = link.report(answer)
-        if report is not None:
-            load = server_load(self._tables, server.name)
-            load.received = max(load.received, report.received)
+        return answer
+
+    async def report(self, server: Server, wait_s: float) -> Reported | None:
+        """Ask a server for its report of itself."""
+        answer = await self.ask(server, ReportStatus(), wait_s)
+        return None if answer is None else answer.report
 
     def release(self, server: Server, link) -> None:
         """Take back a connection that is outside a transaction."""
@@ -212,6 +224,8 @@
             load.lagging_until = now + LAGGING_S
         if answer.kind is AnswerKind.READ_ONLY:
             self.on_suspicion(server, 'it refuses writes')
+        if answer.report is not None:
+            load.received = max(load.received, answer.report.received)
         if answer.position is not None:
             record_position(self._tables, server, answer.position, sent_at, now)
 
--- a/packages/toucandeald/src/toucandeald/session_messages.py
+++ b/packages/toucandeald/src/toucandeald/session_messages.py
@@ -11,6 +11,7 @@
 )
 from toucandeal.fleet import Statement
 from toucandeal.positions import LogPosition
+from toucandeal.promotion import Reported
 
 __all__ = [
     'AnswerKind',
@@ -78,7 +79,10 @@
 
 
 class ServerAnswer(NamedTuple):
-    """A server's whole answer, or that none came (``LOST``)."""
+    """A server's whole answer, or that none came (``LOST``).
+
+    `report` is the server's report of itself, where it was asked for one.
+    """
 
     kind: AnswerKind
     rows: list[str]
@@ -86,6 +90,7 @@
     reason: str
     in_transaction: bool = False
     position: LogPosition | None = None
+    report: Reported | None = None
 
 
 class Forward(NamedTuple):
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -48,6 +48,7 @@
 LONG_FEED_WAIT_S = 10.0  # of the proxies that also hear changes from others
 FOLLOWERS = 2  # proxies with the short wait, so that one may be cut off
 AGAIN_S = 0.15  # between calls that the store does not answer
+FEED_AGAIN_S = 0.6  # at most, while the store goes on to turn a feed away
 READ_S = 0.3  # between reads of the records by the proxy that reads them
 RELAYED_READ_S = 0.6  # the age at which a relayed basis is renewed oneself
 RANK_S = 0.05  # more for each proxy, so that not all read at once
@@ -128,6 +129,10 @@
             default=0,
         )
 
+    def reads_records(self, now: float) -> bool:
+        """Return whether this proxy reads the shared records itself."""
+        return self.store_answers and now - self._read_at < RELAYED_READ_S
+
     def start(self) -> None:
         """Begin to follow the store."""
         for following in (
@@ -293,6 +298,7 @@
         reset: Callable[[list[SharedRow]], None],
     ) -> None:
         version = None
+        again_s = AGAIN_S
         while not self._stopped:
             try:
                 if version is None:
@@ -305,8 +311,10 @@
                 )
             except StoreUnavailable as error:
                 log_event('feed lost', table=table, reason=str(error))
-                await pause(self._clock, AGAIN_S)
+                await pause(self._clock, again_s)
+                again_s = min(again_s * 2, FEED_AGAIN_S)
                 continue
+            again_s = AGAIN_S
             if isinstance(changes, HistoryGone):
                 log_event('feed restarted', table=table, after=version)
                 version = None
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_reports.py
@@ -0,0 +1,94 @@
+"""Reports of servers whose connections are all in use."""
+
+import pytest
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from toucandeal.caller_sessions import LaidState
+from toucandeal.fleet import Server
+from toucandeal.fleet_tables import FleetTables
+from toucandeal.positions import LogPosition
+from toucandeal.promotion import Reported
+from toucandeald.server_pools import ServerPools
+from toucandeald.server_reports import ServerReports
+from toucandeald.session_messages import AnswerKind, ServerAnswer
+
+SERVER = Server('i-1', 'g', '10.0.0.1:80', 'z1', 2, False, False)
+FULL = ServerAnswer(AnswerKind.TOO_MANY_CONNECTIONS, [], '', 'full')
+HELD = LogPosition(1, 7)
+REPORT = Reported(False, 1, HELD, HELD)
+
+
+class Link:
+    """A connection that answers requests for a report."""
+
+    def __init__(self):
+        self.laid = LaidState()
+        self.usable = True
+
+    def call(self, request, timeout_s):
+        """Answer at once."""
+        del request, timeout_s
+        return defer.succeed(
+            ServerAnswer(AnswerKind.COMPLETED, [], '', '', report=REPORT)
+        )
+
+    def close(self):
+        """Close it."""
+        self.usable = False
+
+
+class FullServer:
+    """A server with room for one connection."""
+
+    def __init__(self):
+        self.room = 1
+
+    async def open(self, server, timeout_s):
+        """Open the only connection, or refuse."""
+        del server, timeout_s
+        if not self.room:
+            return FULL
+        self.room -= 1
+        return Link()
+
+
+@pytest.fixture
+def server():
+    """Return a server with room for one connection."""
+    return FullServer()
+
+
+@pytest.fixture
+def pools(server):
+    """Return pools of a proxy that knows the server."""
+    tables = FleetTables('p1', 'z1')
+    tables.servers['i-1'] = SERVER
+    return ServerPools(Clock(), tables, server.open)
+
+
+def _reports(pools, server):
+    reports = ServerReports(pools, server.open)
+    got = []
+    gathering = defer.ensureDeferred(reports.gather([SERVER]))
+    gathering.addCallback(got.append)
+    return got
+
+
+def test_a_full_server_reports_over_a_pooled_connection(pools, server):
+    pools.pool(SERVER).warm(1)
+    assert server.room == 0
+    assert _reports(pools, server) == [{'i-1': REPORT}]
+
+
+def test_a_full_server_without_a_pooled_connection_gives_no_report(
+    pools, server
+):
+    server.room = 0
+    assert _reports(pools, server) == [{}]
+
+
+def test_what_a_report_tells_is_kept(pools, server):
+    _reports(pools, server)
+    load = pools._tables.loads['i-1']
+    assert load.received == HELD
