Lend connections to servers where there are fewer than proxies need

Change: proxies hold at most half of a server's connections, two or more each, chosen by rendezvous hashing; the others borrow one from a lender for a statement or a transaction. Where connections abound all are lenders. After a start a proxy that is no lender waits up to 1 s for one instead of opening its own. Requests, promotions and acknowledgements are decided by the borrower as before; a loan ends when either side is silent.

Ruled out: closing idle connections sooner (each opening occupies a slot for 12 ms, as long as the work).

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/play.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/play.py
@@ -87,6 +87,7 @@
             self.callers.work_s,
             self.records,
             self.generator,
+            {},
         )
         self.proxies = [
             start_proxy(place, around) for place in self.deployment.proxies
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -15,9 +15,12 @@
 from toucandeal.permissions import record_store_read
 from toucandeal_standins.load_model.patterns import Deployment, Place
 from toucandeal_standins.load_model.servers import ModelGroup, ModelLink
+from toucandeald.borrowing import Borrowing
 from toucandeald.confirmations import Confirmations
 from toucandeald.faults import run
 from toucandeald.forwarding import Forwarding
+from toucandeald.lending import Lending
+from toucandeald.lending_wire import Answered, Lent
 from toucandeald.measures import Measures
 from toucandeald.server_pools import ServerPools
 from toucandeald.session_messages import AnswerKind, ServerAnswer
@@ -27,6 +30,7 @@
 __all__ = ['ModelProxy', 'Surroundings', 'kind_routes', 'start_proxy']
 
 MS = 1000
+INCARNATION = 1
 UPKEEP_S = 0.25  # as in a real proxy
 REPORT_WAIT_S = 0.3  # as in a real proxy
 BASIS_S = 0.3  # between two reads of the shared records
@@ -42,6 +46,7 @@
     work_s: dict[str, float]
     records: dict[str, GroupRecord]
     generator: random.Random
+    running: dict[str, 'ModelProxy']
 
 
 class ModelProxy:
@@ -65,7 +70,11 @@
             learn_record(tables, record)
         self._permit()
         clock = around.clock
-        self.pools = ServerPools(clock, tables, self._open_link)
+        own = ProxyRecord(place.name, INCARNATION, place.name)
+        self.borrowing = Borrowing(clock, tables, own)
+        self.borrowing.send = self.send
+        self.pools = ServerPools(clock, tables, self._open_link, self.borrowing)
+        self.lending = Lending(tables, self.pools, self, own)
         confirmations = Confirmations(clock, tables)
         confirmations.ask = lambda server: run(
             self.pools.report(server, REPORT_WAIT_S)
@@ -83,6 +92,24 @@
         if record.changing:
             self.pools.drop_links(previous.primary)
 
+    def send(self, address: str, message) -> None:
+        """Send a message to another proxy, which is at the address."""
+        around = self._around
+        sizes = around.deployment
+        other = around.running[address]
+        near = other.place.failure_domain == self.place.failure_domain
+        delay_ms = sizes.near_ms if near else sizes.far_ms
+        around.clock.callLater(delay_ms / MS, self._arrive, address, message)
+
+    def _arrive(self, address: str, message) -> None:
+        other = self._around.running[address]
+        if not (self.running and other.running):
+            return
+        if isinstance(message, Lent | Answered):
+            other.borrowing.received(message)
+        else:
+            other.lending.received(message)
+
     def hear(self, proxies: list['ModelProxy']) -> None:
         """Hear what other proxies could use."""
         now = self._around.clock.seconds()
@@ -90,7 +117,15 @@
             name = other.tables.name
             if other is not self:
                 self.tables.peers[name] = PeerView(
-                    name, 1, '', now, False, True, {}, other.demands
+                    name,
+                    INCARNATION,
+                    name,
+                    now,
+                    False,
+                    True,
+                    {},
+                    other.demands,
+                    other.place.failure_domain,
                 )
 
     @property
@@ -109,7 +144,7 @@
         record_store_read(
             self.tables.permissions,
             self._around.clock.seconds(),
-            {name: ProxyRecord(name, 1, f'{name}:1') for name in names},
+            {name: ProxyRecord(name, INCARNATION, name) for name in names},
         )
         if self.running:
             self._around.clock.callLater(BASIS_S, self._permit)
@@ -117,6 +152,9 @@
     def _keep_up(self) -> None:
         if self.running:
             self.pools.keep_up()
+            now = self._around.clock.seconds()
+            self.borrowing.tick(now)
+            self.lending.tick(now)
             self._around.clock.callLater(UPKEEP_S, self._keep_up)
 
     async def _open_link(self, server: Server, timeout_s: float):
@@ -149,7 +187,9 @@
 
 def start_proxy(place: Place, around: Surroundings) -> ModelProxy:
     """Return a proxy that serves."""
-    return ModelProxy(place, around)
+    proxy = ModelProxy(place, around)
+    around.running[place.name] = proxy
+    return proxy
 
 
 def kind_routes(deployment: Deployment) -> dict[str, Route]:
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
@@ -146,6 +146,8 @@
 class ModelLink:
     """A proxy's connection to a server, one request at a time."""
 
+    borrowed = False
+
     def __init__(
         self,
         server: ModelServer,
--- a/packages/toucandeal/src/toucandeal/copy_turns.py
+++ b/packages/toucandeal/src/toucandeal/copy_turns.py
@@ -8,10 +8,11 @@
 that differs from peer to peer, and none sends again soon.
 """
 
-import hashlib
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from toucandeal.membership import rendezvous_order
+
 __all__ = ['CopyPace', 'Lacking', 'copy_is_due', 'copy_rank']
 
 
@@ -44,11 +45,7 @@
     [0, 1, 2]
     """
     senders = {*proxies, own} - {peer}
-    return sorted(senders, key=lambda name: _mixed(name, peer)).index(own)
-
-
-def _mixed(name: str, peer: str) -> bytes:
-    return hashlib.blake2b(f'{name} {peer}'.encode(), digest_size=8).digest()
+    return rendezvous_order(senders, peer).index(own)
 
 
 def copy_is_due(
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -90,6 +90,7 @@
     counts_me: bool
     primary_heard: dict[str, float]
     demands: Mapping[str, float] = MappingProxyType({})
+    failure_domain: str = ''
 
 
 class FleetTables:
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -11,6 +11,7 @@
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.permissions import counted_proxies
+from toucandeald.borrowing import Borrowing
 from toucandeald.confirmations import Confirmations
 from toucandeald.faults import run
 from toucandeald.fleet_settings import FleetSettings
@@ -18,6 +19,7 @@
 from toucandeald.fleet_wire import FleetMessage
 from toucandeald.forwarding import Forwarding
 from toucandeald.gossip import BEAT_S, Gossip
+from toucandeald.lending import Lending
 from toucandeald.lifecycle import Lifecycle, LifecycleState, new_lifecycle
 from toucandeald.link_pool import OpenLink
 from toucandeald.logs import log_event
@@ -72,6 +74,8 @@
     shutdown: FleetShutdown
     silent: SilentProxies
     moving: MovingCallers
+    borrowing: Borrowing
+    lending: Lending
     ports: FleetPorts
 
 
@@ -89,10 +93,13 @@
     measures = Measures()
     state = SharedState(reactor, tables, ports.store, ports.shared, own)
     gossip = Gossip(tables, state, own)
-    pools = ServerPools(reactor, tables, ports.open_link)
-    confirmations = Confirmations(reactor, tables)
-    confirmations.ask = lambda server: run(pools.report(server, REPORT_WAIT_S))
-    forwarding = Forwarding(tables, pools, confirmations, random.Random())
+    borrowing = Borrowing(reactor, tables, own)
+    borrowing.send = gossip.send
+    pools = ServerPools(reactor, tables, ports.open_link, borrowing)
+    lending = Lending(tables, pools, gossip, own)
+    gossip.on_borrower = lending.received
+    gossip.on_lender = borrowing.received
+    forwarding = _new_forwarding(reactor, tables, pools)
     service = SessionService(tables, forwarding, measures)
     stopping = StoppingWork(reactor, tables, pools, service, gossip)
     watch = PrimaryWatch(reactor, tables, ports.open_link)
@@ -111,11 +118,16 @@
     gossip.on_begun = stopping.asked
     gossip.on_stopped = promoter.peer_stopped
     shutdown = FleetShutdown(
-        reactor, tables, state, gossip, service, settings.stop_timeout_s
+        reactor,
+        tables,
+        state,
+        gossip,
+        service,
+        lending,
+        settings.stop_timeout_s,
     )
     lifecycle_state = LifecycleState(shutdown.begin, reactor.stop)
-    lifecycle = new_lifecycle(lifecycle_state)
-    shutdown.lifecycle = lifecycle
+    shutdown.lifecycle = new_lifecycle(lifecycle_state)
     sockets = PeerSockets(
         reactor, settings.listen_peers, gossip.received, FleetMessage
     )
@@ -130,17 +142,25 @@
             watch,
             promoter,
             measures,
-            lifecycle,
+            shutdown.lifecycle,
             lifecycle_state,
             shutdown,
             SilentProxies(tables, state),
             MovingCallers(tables, service),
+            borrowing,
+            lending,
             ports,
         )
     finally:
         sockets.close()
 
 
+def _new_forwarding(reactor, tables: FleetTables, pools: ServerPools):
+    confirmations = Confirmations(reactor, tables)
+    confirmations.ask = lambda server: run(pools.report(server, REPORT_WAIT_S))
+    return Forwarding(tables, pools, confirmations, random.Random())
+
+
 async def start_fleet(
     reactor, settings: FleetSettings, parts: FleetParts
 ) -> None:
@@ -190,9 +210,12 @@
 def _tick(parts: FleetParts) -> None:
     now = steady_seconds()
     parts.state.tick(now)
+    parts.gossip.greet()
     parts.watch.tick(now)
     parts.promoter.tick(now)
     parts.moving.tick(now)
+    parts.borrowing.tick(now)
+    parts.lending.tick(now)
     if not parts.lifecycle_state.ready and _may_serve(parts.tables):
         parts.lifecycle.started()
 
@@ -212,6 +235,7 @@
     measures = parts.measures
     measures.gauge('sessions', len(parts.service.sessions))
     measures.gauge('connections_opened', parts.pools.opened)
+    measures.gauge('connections_lent', parts.lending.count)
     measures.gauge('store_calls', parts.ports.store.calls)
     counted = counted_proxies(parts.tables.permissions)
     measures.gauge('proxies_counted', len(counted))
--- a/packages/toucandeald/src/toucandeald/fleet_shutdown.py
+++ b/packages/toucandeald/src/toucandeald/fleet_shutdown.py
@@ -9,6 +9,7 @@
 
 from toucandeal.fleet_tables import FleetTables
 from toucandeald.gossip import Gossip
+from toucandeald.lending import Lending
 from toucandeald.logs import log_event
 from toucandeald.repeating import call_every
 from toucandeald.session_service import SessionService
@@ -32,6 +33,7 @@
         state: SharedState,
         gossip: Gossip,
         service: SessionService,
+        lending: Lending,
         timeout_s: float,
     ) -> None:
         """Take the parts to wait for."""
@@ -42,6 +44,7 @@
         self._state = state
         self._gossip = gossip
         self._service = service
+        self._lending = lending
         self._timeout_s = timeout_s
         self._began_at = 0.0
         self._leaving = False
@@ -62,7 +65,8 @@
         overdue = past_s >= self._timeout_s - MARGIN_S
         if past_s >= min(NOTICE_S, self._timeout_s / 2):
             self._close_idle()
-        if overdue or (service.closing_idle and not service.connections):
+        in_use = service.connections or self._lending.count
+        if overdue or (service.closing_idle and not in_use):
             self._leaving = True
             log_event('drained', sessions=len(service.sessions))
             # Nothing may be running once this proxy is not registered.
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from toucandeald.lending_wire import Answered, Asked, GivenBack, Lent, Wanted
+
 __all__ = [
     'Beat',
     'Begun',
@@ -42,6 +44,7 @@
     servers_version: int
     primary_heard: dict[str, float]
     demands: dict[str, float]
+    failure_domain: str
 
 
 class RowCopy(msgspec.Struct, array_like=True):
@@ -94,5 +97,15 @@
 
 
 FleetMessage = (
-    Beat | RecordsCopy | ConfigurationCopy | ServersCopy | Begun | Stopped
+    Beat
+    | RecordsCopy
+    | ConfigurationCopy
+    | ServersCopy
+    | Begun
+    | Stopped
+    | Wanted
+    | Lent
+    | Asked
+    | Answered
+    | GivenBack
 )
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -21,6 +21,7 @@
     ServersCopy,
     Stopped,
 )
+from toucandeald.lending_wire import Answered, Asked, GivenBack, Lent, Wanted
 from toucandeald.logs import log_event
 from toucandeald.peers import PeerSockets
 from toucandeald.shared_records import proxy_key
@@ -54,11 +55,14 @@
         self.sockets: PeerSockets | None = None
         self.on_begun: Callable[[str], None] = _ignore
         self.on_stopped: Callable[[Stopped], None] = _ignore
+        self.on_borrower: Callable[[Wanted | Asked | GivenBack], None] = _ignore
+        self.on_lender: Callable[[Lent | Answered], None] = _ignore
         self.last_stated_at = steady_seconds()
         self._tables = tables
         self._state = state
         self._own = own
         self._heard: dict[str, tuple[Beat, float]] = {}
+        self._greeted: set[str] = set()
         self._lacking: dict[tuple[str, CopyPace], Lacking] = {}
 
     @property
@@ -66,6 +70,11 @@
         """Return where the peers reach this proxy."""
         return self._own.address
 
+    def greet(self) -> None:
+        """Send a beat as soon as there is a peer that had none."""
+        if not self._greeted >= self.addresses().keys():
+            self.beat()
+
     def beat(self) -> None:
         """Send a beat to all peers, and forget those silent for long."""
         now = steady_seconds()
@@ -74,6 +83,7 @@
                 self._tables.peers.pop(name)
                 self._heard.pop(name, None)
         addresses = self.addresses()
+        self._greeted = set(addresses)
         self.sockets.keep_only(set(addresses.values()))
         counted = counted_proxies(self._tables.permissions)
         demands = {
@@ -121,6 +131,10 @@
                 self.on_begun(message)
             case Stopped():
                 self.on_stopped(message)
+            case Wanted() | Asked() | GivenBack():
+                self.on_borrower(message)
+            case Lent() | Answered():
+                self.on_lender(message)
 
     def share_records(self) -> None:
         """Send the records to all peers without waiting for their beats."""
@@ -171,6 +185,7 @@
                 servers_version=self._state.servers_version,
                 primary_heard=self._primary_heard(now),
                 demands=demands,
+                failure_domain=self._tables.failure_domain,
             ),
         )
 
@@ -202,6 +217,7 @@
             beat.counts_addressee,
             {name: now - age for name, age in beat.primary_heard.items()},
             beat.demands,
+            beat.failure_domain,
         )
         if beat.echo_incarnation == self._own.incarnation:
             self._rest_on(beat, beat.echo + beat.echo_held)
--- a/packages/toucandeald/src/toucandeald/link_pool.py
+++ b/packages/toucandeald/src/toucandeald/link_pool.py
@@ -48,6 +48,7 @@
         self.server = server
         self.limit = 1
         self.opened = 0
+        self.keeps_idle = True
         self._clock = clock
         self._open_link = open_link
         self._observed = observed
@@ -128,8 +129,13 @@
         elif self._queue:
             first = first_in_line(self._queue, self._clock.seconds())
             self._answer(first, link)
-        else:
+        elif link.borrowed:
+            self._links.discard(link)
+            link.give_back()
+        elif self.keeps_idle:
             self._idle[link] = self._clock.seconds()
+        else:
+            self.discard(link)
 
     def discard(self, link) -> None:
         """Close a connection whose state is not known."""
@@ -248,10 +254,11 @@
         if self._closed:
             opened.close()
             return
-        self.opened += 1
         self._links.add(opened)
         opened.on_closed = self._link_closed
-        self._observed(self.server, None)
+        if not opened.borrowed:
+            self.opened += 1
+            self._observed(self.server, None)
         self.release(opened)
         if self._queue:
             self._open_more()
--- a/packages/toucandeald/src/toucandeald/replies.py
+++ b/packages/toucandeald/src/toucandeald/replies.py
@@ -30,6 +30,7 @@
     AnswerKind.ABORTED,
     AnswerKind.WRONG_SERVER,
     AnswerKind.TOO_MANY_CONNECTIONS,
+    AnswerKind.NO_CONNECTION,
 }
 
 
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -16,9 +16,11 @@
     record_position,
     server_load,
 )
+from toucandeal.lending import lenders
 from toucandeal.permissions import counted_proxies
 from toucandeal.promotion import Reported
 from toucandeal.statement_queue import Claim
+from toucandeald.borrowing import NOT_LENT, NOWHERE, OWN, Borrowing
 from toucandeald.link_pool import LinkPool, OpenLink
 from toucandeald.logs import log_event
 from toucandeald.session_messages import (
@@ -35,6 +37,7 @@
 SETUP_TIMEOUT_S = 0.5  # for a step that occupies no slot
 SHUN_S = 0.25  # a server that refused connections
 LAGGING_S = 0.06  # before a replica that lagged is tried again
+MOST_BORROWED = 8  # connections at once; fewer than a server has
 OWN_PRIORITY = -1  # of this proxy's own requests, before all callers'
 WARM_LINKS = 2  # for each server, so that a failover needs no handshakes
 
@@ -42,12 +45,19 @@
 class ServerPools:
     """A pool for each server that the shared records name."""
 
-    def __init__(self, clock, tables: FleetTables, open_link: OpenLink) -> None:
-        """Take the tables and what opens a connection."""
+    def __init__(
+        self,
+        clock,
+        tables: FleetTables,
+        open_link: OpenLink,
+        borrowing: Borrowing,
+    ) -> None:
+        """Take the tables, and what opens or borrows a connection."""
         self.on_suspicion = _ignore
         self._clock = clock
         self._tables = tables
         self._open_link = open_link
+        self._borrowing = borrowing
         self._pools: dict[str, LinkPool] = {}
 
     @property
@@ -66,7 +76,7 @@
         if known is not None:
             known.close()
         pool = LinkPool(
-            self._clock, server, self._open_link, self._connection_observed
+            self._clock, server, self._open, self._connection_observed
         )
         self._pools[server.name] = pool
         self._limit(pool)
@@ -86,7 +96,9 @@
                 load.demand = decayed_demand(load.demand, pool.peak)
                 pool.begin_period()
                 self._limit(pool)
-                warm = 0 if server.leaving else WARM_LINKS
+                pool.keeps_idle = self._borrowing.source(server) == OWN
+                holds = pool.keeps_idle and not server.leaving
+                warm = WARM_LINKS if holds else 0
                 pool.trim(warm)
                 pool.warm(warm)
 
@@ -199,17 +211,27 @@
             for link in pool.links:
                 pool.discard(link)
 
+    async def _open(self, server: Server, timeout_s: float):
+        source = self._borrowing.source(server)
+        if source == NOWHERE:
+            return NOT_LENT
+        if source == OWN:
+            return await self._open_link(server, timeout_s)
+        return await self._borrowing.borrow(source, server, timeout_s)
+
     def _limit(self, pool: LinkPool) -> None:
         configuration = self._tables.configuration
         if configuration is None:
             return
         declared = configuration.groups.get(pool.server.group)
-        if declared is not None:
-            pool.limit = connection_share(
-                declared.connection_limit,
-                _demands(self._tables, pool.server),
-                self._tables.name,
-            )
+        if declared is None:
+            return
+        limit = declared.connection_limit
+        if self._borrowing.source(pool.server) != OWN:
+            pool.limit = MOST_BORROWED
+            return
+        demands = _demands(self._tables, pool.server, limit)
+        pool.limit = connection_share(limit, demands, self._tables.name)
 
     def _answered(
         self, server: Server, answer: ServerAnswer, sent_at: float, now: float
@@ -232,6 +254,8 @@
     def _connection_observed(
         self, server: Server, refusal: ServerAnswer | None
     ) -> None:
+        if refusal is not None and refusal.kind is AnswerKind.NO_CONNECTION:
+            return  # it says nothing about the server
         load = server_load(self._tables, server.name)
         now = steady_seconds()
         if refusal is None or refusal.kind is not AnswerKind.LOST:
@@ -247,16 +271,18 @@
             self.on_suspicion(server, refusal.reason)
 
 
-def _demands(tables: FleetTables, server: Server) -> dict[str, float]:
-    """Return what each counted proxy could use of a server."""
-    own = server_load(tables, server.name).demand
-    told = {
+def _demands(
+    tables: FleetTables, server: Server, limit: int
+) -> dict[str, float]:
+    """Return what each proxy that holds connections could use of a server."""
+    counted = counted_proxies(tables.permissions) | {tables.name}
+    demands = {
         name: tables.peers[name].demands.get(server.name, 0)
-        for name in counted_proxies(tables.permissions)
         if name in tables.peers
+        else 0
+        for name in lenders(server.name, counted, limit)
     }
-    untold = dict.fromkeys(counted_proxies(tables.permissions), 0)
-    return untold | told | {tables.name: own}
+    return demands | {tables.name: server_load(tables, server.name).demand}
 
 
 def _ignore(server: Server, reason: str) -> None:
--- a/packages/toucandeald/src/toucandeald/session_messages.py
+++ b/packages/toucandeald/src/toucandeald/session_messages.py
@@ -72,6 +72,7 @@
     WRONG_SERVER = 'wrong server'
     TOO_MANY_CONNECTIONS = 'too many connections'
     MALFORMED = 'malformed'
+    NO_CONNECTION = 'no connection'
     ABORTED = 'aborted'
     FAILED = 'failed'
     TIMED_OUT = 'timed out'
--- a/packages/toucandeald/src/toucandeald/tests/test_link_pool.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_link_pool.py
@@ -18,6 +18,8 @@
 class Link:
     """A connection that does nothing."""
 
+    borrowed = False
+
     def __init__(self):
         self.laid = LaidState()
         self.usable = True
--- a/packages/toucandeald/src/toucandeald/tests/test_server_reports.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_reports.py
@@ -5,10 +5,11 @@
 from twisted.internet.task import Clock
 
 from toucandeal.caller_sessions import LaidState
-from toucandeal.fleet import Server
+from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.positions import LogPosition
 from toucandeal.promotion import Reported
+from toucandeald.borrowing import Borrowing
 from toucandeald.server_pools import ServerPools
 from toucandeald.server_reports import ServerReports
 from toucandeald.session_messages import AnswerKind, ServerAnswer
@@ -22,6 +23,8 @@
 class Link:
     """A connection that answers requests for a report."""
 
+    borrowed = False
+
     def __init__(self):
         self.laid = LaidState()
         self.usable = True
@@ -64,7 +67,9 @@
     """Return pools of a proxy that knows the server."""
     tables = FleetTables('p1', 'z1')
     tables.servers['i-1'] = SERVER
-    return ServerPools(Clock(), tables, server.open)
+    clock = Clock()
+    borrowing = Borrowing(clock, tables, ProxyRecord('p1', 1, 'p1:1'))
+    return ServerPools(clock, tables, server.open, borrowing)
 
 
 def _reports(pools, server):
