--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -17,7 +17,7 @@
     server_load,
 )
 from toucandeal.positions import NOTHING_SEEN, LogPosition
-from toucandeal.staleness import required_position
+from toucandeal.staleness import required_sample
 
 __all__ = [
     'Place',
@@ -34,13 +34,24 @@
 
 
 class Place(NamedTuple):
-    """The server for a statement; `after` is the position it must hold."""
+    """The server for a statement; `after` is the position it must hold.
+
+    `sampled_at` is when the sample was taken that asks for this position.
+    """
 
     server: Server
     after: LogPosition | None
     on_primary: bool
     epoch: int
     reason: str
+    sampled_at: float | None = None
+
+
+class Needed(NamedTuple):
+    """The position that a read must see, and the time of its sample."""
+
+    position: LogPosition
+    sampled_at: float
 
 
 class Refuse(NamedTuple):
@@ -106,27 +117,34 @@
     best = min(costs, key=costs.__getitem__)
     if best is primary:
         return Place(best, None, True, group.epoch, 'least expected wait')
-    return Place(best, needed, False, group.epoch, 'least expected wait')
+    return Place(
+        best,
+        needed.position,
+        False,
+        group.epoch,
+        'least expected wait',
+        needed.sampled_at,
+    )
 
 
 def _needed(
     group, route: Route, seen: LogPosition, now: float
-) -> LogPosition | None:
+) -> Needed | None:
     since = now - route.allowance_s + ALLOWANCE_MARGIN_S
-    fresh = required_position(group.history, since)
+    fresh = required_sample(group.history, since)
     if fresh is None:
         return None
     own = NOTHING_SEEN
     if route.kind is RouteKind.READ_YOUR_WRITES:
         own = required_since_term(group, seen)
-    return max(fresh, own)
+    return Needed(max(fresh.seen, own), fresh.sent_at)
 
 
 def _eligible(
     tables: FleetTables,
     server: Server,
     primary: Server | None,
-    needed: LogPosition | None,
+    needed: Needed | None,
     now: float,
 ) -> bool:
     load = server_load(tables, server.name)
@@ -139,7 +157,7 @@
         return False
     if server.name == record.primary:
         return False
-    return load.held >= needed or now >= load.lagging_until
+    return load.held >= needed.position or now >= load.lagging_until
 
 
 def _cost(tables: FleetTables, server: Server, *, is_primary: bool) -> float:
--- a/packages/toucandeal/src/toucandeal/staleness.py
+++ b/packages/toucandeal/src/toucandeal/staleness.py
@@ -21,7 +21,7 @@
     'Sample',
     'covered_since',
     'record',
-    'required_position',
+    'required_sample',
     'staleness_bound',
 ]
 
@@ -106,8 +106,8 @@
     return now - covered_since(history, LogPosition(*held))
 
 
-def required_position(history: History, since: float) -> LogPosition | None:
-    """Return a position that holds all that was confirmed before `since`.
+def required_sample(history: History, since: float) -> Sample | None:
+    """Return a sample whose position holds all confirmed before `since`.
 
     The oldest sample that suffices is taken, since more replicas hold it.
 
@@ -116,12 +116,12 @@
     >>> history = [
     ...     Sample(LogPosition(1, 5), 10.0), Sample(LogPosition(1, 8), 12.0)
     ... ]
-    >>> required_position(history, 11.0)
+    >>> required_sample(history, 11.0).seen
     LogPosition(term=1, index=8)
-    >>> required_position(history, 12.5) is None
+    >>> required_sample(history, 12.5) is None
     True
     """
     place = bisect.bisect_left(
         history, since, key=lambda sample: sample.sent_at
     )
-    return history[place].seen if place < len(history) else None
+    return history[place] if place < len(history) else None
--- a/packages/toucandeald/src/toucandeald/forwarding.py
+++ b/packages/toucandeald/src/toucandeald/forwarding.py
@@ -53,6 +53,7 @@
 MAX_WRITE_ATTEMPTS = 3  # each only after a clear word that nothing ran
 READ_ATTEMPT_SHARE = 0.6  # of the aim, before a read is offered elsewhere
 WANTED_REFUSALS = 0.25  # for each served statement, before callers are put off
+MS = 1000
 MIN_READ_ATTEMPT_S = 0.12  # many times a read of a server in order
 
 
@@ -237,6 +238,7 @@
             id=call.identity,
             server=server.name,
             after=place.after,
+            age_ms=_age_ms(place),
             epoch=place.epoch,
             reason=place.reason,
         )
@@ -289,6 +291,13 @@
             if not fits:
                 return self._abort(call, 'the connection was lost')
             opened.wrote = opened.wrote or call.writes
+            log_event(
+                'statement',
+                id=call.identity,
+                session=call.session.identity,
+                server=place.server.name,
+                epoch=place.epoch,
+            )
             answer = await self._pools.call(
                 place.server,
                 opened.link,
@@ -335,6 +344,7 @@
             id=call.identity,
             server=place.server.name,
             after=place.after,
+            age_ms=_age_ms(place),
             epoch=place.epoch,
             reason=place.reason,
         )
@@ -458,6 +468,13 @@
         return ending.addCallback(ended)
 
 
+def _age_ms(place: Place) -> float | None:
+    """Return the age of the sample that a place rests on."""
+    if place.sampled_at is None:
+        return None
+    return round((steady_seconds() - place.sampled_at) * MS, 1)
+
+
 def _read_timeout_s(call: Call, attempt: int) -> float:
     """Return how long an attempt of a read waits for its answer."""
     left_s = call.deadline_at - steady_seconds()
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -48,7 +48,7 @@
 LONG_FEED_WAIT_S = 10.0  # of the proxies that also hear changes from others
 FOLLOWERS = 2  # proxies with the short wait, so that one may be cut off
 AGAIN_S = 0.15  # between calls that the store does not answer
-FEED_AGAIN_S = 0.6  # at most, while the store goes on to turn a feed away
+FEED_AGAIN_S = 0.6  # at most, while the store goes on to turn calls away
 READ_S = 0.3  # between reads of the records by the proxy that reads them
 RELAYED_READ_S = 0.6  # the age at which a relayed basis is renewed oneself
 RANK_S = 0.05  # more for each proxy, so that not all read at once
@@ -337,9 +337,18 @@
             elif self._read_is_due(now):
                 await self.read_records()
                 if not self.store_answers:
-                    await pause(self._clock, AGAIN_S)
+                    await pause(self._clock, self._again_s())
             await pause(self._clock, CHECK_S)
 
+    def _again_s(self) -> float:
+        """Return the pause before a store that gives no answer is asked again.
+
+        While the word of a peer will do, there is no hurry.
+        """
+        now = steady_seconds()
+        left_s = basis_ends_at(self._tables.permissions, now) - now
+        return FEED_AGAIN_S if left_s > FEED_AGAIN_S else AGAIN_S
+
     def _rank(self) -> int:
         """Return this proxy's place among those that it hears."""
         return sum(name < self._own.name for name in self._tables.peers)
