Split forwarding by job, and count only lack of capacity as refusals

And the delay that refusals name was adapted to all refusals, so those of a promotion, which end with it, raised it to seconds and put callers off after the promotion was over.

Change: acknowledging, refusal_pace, single_statements and caller_transactions beside a short forwarding; a refusal says whether it is for lack of capacity (no free connection, or the server's queue is full), and only that counts.

--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -55,10 +55,11 @@
 
 
 class Refuse(NamedTuple):
-    """Nothing can run the statement now."""
+    """Nothing can run the statement now; `busy` for lack of capacity."""
 
     reason: str
     retry_after_s: float
+    busy: bool = False
 
 
 def place_write(
--- a/packages/toucandeald/src/toucandeald/replies.py
+++ b/packages/toucandeald/src/toucandeald/replies.py
@@ -15,12 +15,15 @@
     'done',
     'no_connection',
     'not_run',
+    'refusal_for',
     'refused',
     'reply',
     'unknown_database',
 ]
 
 RETRY_S = 0.1  # for a refusal without a better estimate
+# Lack of capacity: no free connection, or the server's queue is full.
+BUSY = {AnswerKind.NO_CONNECTION, AnswerKind.NOT_RUN}
 NOTHING_RAN = {
     AnswerKind.NOT_RUN,
     AnswerKind.LAGGING,
@@ -31,6 +34,7 @@
     AnswerKind.WRONG_SERVER,
     AnswerKind.TOO_MANY_CONNECTIONS,
     AnswerKind.NO_CONNECTION,
+    AnswerKind.WITHHELD,
 }
 
 
@@ -50,7 +54,12 @@
     """Return the reply that nothing ran, and when to come back."""
     return reply(
         session, ReplyKind.REFUSED, refusal.reason, refusal.retry_after_s
-    )
+    )._replace(busy=refusal.busy)
+
+
+def refusal_for(answer: ServerAnswer) -> Refuse:
+    """Return the refusal that a server's answer leads to."""
+    return Refuse(answer.reason, RETRY_S, answer.kind in BUSY)
 
 
 def done(session: CallerSession, answer: ServerAnswer) -> CallerReply:
@@ -75,9 +84,14 @@
 
 def not_run(reason: str) -> ServerAnswer:
     """Return the answer that stands for an attempt that was not made."""
-    return ServerAnswer(AnswerKind.NOT_RUN, [], '', reason)
+    return ServerAnswer(AnswerKind.WITHHELD, [], '', reason)
 
 
 def no_connection() -> ServerAnswer:
     """Return the answer for an attempt that found no connection."""
-    return not_run('no connection to the server was free in time')
+    return ServerAnswer(
+        AnswerKind.NO_CONNECTION,
+        [],
+        '',
+        'no connection to the server was free in time',
+    )
--- a/packages/toucandeald/src/toucandeald/session_messages.py
+++ b/packages/toucandeald/src/toucandeald/session_messages.py
@@ -49,7 +49,8 @@
 class CallerReply(NamedTuple):
     """The whole answer to one request of a caller.
 
-    `state` is the session's, ``idle``, ``open`` or ``failed``.
+    `state` is the session's, ``idle``, ``open`` or ``failed``; `busy` whether
+    it is a refusal for lack of capacity.
     """
 
     kind: ReplyKind
@@ -59,6 +60,7 @@
     signature: str = ''
     reason: str = ''
     retry_after_s: float = 0
+    busy: bool = False
 
 
 class AnswerKind(enum.Enum):
@@ -73,6 +75,7 @@
     TOO_MANY_CONNECTIONS = 'too many connections'
     MALFORMED = 'malformed'
     NO_CONNECTION = 'no connection'
+    WITHHELD = 'withheld'  # not sent by this proxy
     ABORTED = 'aborted'
     FAILED = 'failed'
     TIMED_OUT = 'timed out'
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -55,7 +55,7 @@
             return
         self.sessions.pop(session.identity, None)
         if session.transaction is not None and not session.busy:
-            self._forwarding.end_transaction(session, 'the caller has left')
+            self._forwarding.transactions.end(session, 'the caller has left')
 
     def went_idle(self, connection) -> None:
         """Close a connection between requests once the proxy is leaving."""
@@ -103,7 +103,7 @@
         finally:
             session.busy = False
         if session.identity not in self.sessions:
-            self._forwarding.end_transaction(session, 'the caller has left')
+            self._forwarding.transactions.end(session, 'the caller has left')
         took_s = steady_seconds() - began_at
         self._measures.reply(statement.verb.value, answer.kind.value, took_s)
         if answer.kind is not ReplyKind.DONE:
@@ -139,7 +139,7 @@
             opened = session.transaction
             idle = opened is not None and not session.busy
             if idle and opened.link is not None and opened.used_at < oldest:
-                self._forwarding.fail_transaction(
+                self._forwarding.transactions.fail(
                     session, 'it was idle for too long'
                 )
 
@@ -155,7 +155,9 @@
                 session, ReplyKind.MALFORMED, 'the statement is not known'
             )
         if statement.verb is Verb.ROLLBACK:
-            self._forwarding.end_transaction(session, 'the caller asked for it')
+            self._forwarding.transactions.end(
+                session, 'the caller asked for it'
+            )
             return reply(session, ReplyKind.DONE)
         if session.state == 'failed':
             return self._after_failure(session, statement)
@@ -172,7 +174,7 @@
     ) -> CallerReply:
         if statement.verb is Verb.COMMIT:
             reason = session.transaction.failure
-            self._forwarding.end_transaction(session, reason)
+            self._forwarding.transactions.end(session, reason)
             return reply(session, ReplyKind.ABORTED, reason)
         return reply(
             session,
--- a/packages/toucandeald/src/toucandeald/statement_calls.py
+++ b/packages/toucandeald/src/toucandeald/statement_calls.py
@@ -6,9 +6,13 @@
 
 from toucandeal.caller_sessions import CallerSession, PreparedShape
 from toucandeal.fleet import Route, Statement
+from toucandeal.placement import Place
 from toucandeal.statement_queue import Claim
+from toucandeald.steady_clock import steady_seconds
 
-__all__ = ['Call', 'counted']
+__all__ = ['Call', 'age_ms', 'counted']
+
+MS = 1000
 
 PATIENCE_SHARE = 0.6  # of the aim, in which a statement may be tried again
 
@@ -72,3 +76,10 @@
             self.began_at + self.route.aim_s - latency_s,
             ends_at - latency_s,
         )
+
+
+def age_ms(place: Place) -> float | None:
+    """Return the age of the sample that a place rests on."""
+    if place.sampled_at is None:
+        return None
+    return round((steady_seconds() - place.sampled_at) * MS, 1)
