Split the promoter by job

promoter.py held the triggers, the right to promote and the choice of a server in 548 lines: the right is in promotion_rights and the choice in promotion_choice now. The two loops that repeat a transaction while the store is away are one, and PromotionAbandoned is part of the exception hierarchy. No change of behaviour; the tests of promotions, the library and the adapter pass.

--- a/packages/toucandeal/src/toucandeal/errors.py
+++ b/packages/toucandeal/src/toucandeal/errors.py
@@ -15,6 +15,7 @@
     'ChangeConflict',
     'ChangeRefused',
     'KeyReused',
+    'PromotionAbandoned',
     'StoreUnavailable',
     'ToucandealError',
     'UnknownName',
@@ -122,3 +123,13 @@
         """Keep whether the call may still take effect."""
         super().__init__(problem, remedy)
         self.uncertain = uncertain
+
+
+class PromotionAbandoned(ToucandealError):
+    """A promotion that can't go on; it is begun again while it is needed."""
+
+    kind = 'promotion_abandoned'
+
+    def __init__(self, problem: str) -> None:
+        """Take what is in the way."""
+        super().__init__(problem, 'It is tried again soon if still needed')
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -6,40 +6,31 @@
 the order, and last the record of the new primary.
 """
 
-import secrets
-from typing import NamedTuple
-
-from toucandeal.errors import StoreUnavailable
+from toucandeal.errors import PromotionAbandoned, StoreUnavailable
 from toucandeal.fleet import GroupRecord, Server
 from toucandeal.fleet_tables import FleetTables, group_state
 from toucandeal.permissions import lapsed_at, may_begin_promotion
 from toucandeal.promotion import (
     HOLDER_S,
-    Reported,
     Trigger,
-    best_replica,
     holder_rank,
     promotion_trigger,
-    replicas_of,
 )
 from toucandeald.faults import run
 from toucandeald.fleet_wire import Begun, RowCopy, Stopped
 from toucandeald.gossip import Gossip
 from toucandeald.logs import log_event
 from toucandeald.primary_watch import PrimaryWatch
+from toucandeald.promotion_choice import PromotionChoice, servers_that_claim
+from toucandeald.promotion_rights import RESUME_S, PromotionRights, Right
 from toucandeald.server_reports import ServerReports
-from toucandeald.session_messages import StepDown
 from toucandeald.shared_records import (
-    DUTY_KEY,
     RECORDS_TABLE,
-    encode_duty,
     encode_group,
     group_key,
-    proxy_key,
 )
 from toucandeald.shared_state import SharedState
 from toucandeald.shared_store import (
-    Conflict,
     Precondition,
     PromoteAnswer,
     Put,
@@ -51,28 +42,12 @@
 
 ASK_S = 0.1  # between requests that the peers stop
 LOOK_S = 0.005  # between looks at the answers of the peers
-STEP_S = 0.05  # between looks at what a step waits for
-REPORTS_S = 0.6  # for all replicas to report; then those that have count
-CATCH_UP_S = 1.5  # for a replica to receive all, where the primary is in order
 ORDER_TIMEOUT_S = 1.5  # for an answer to the order to promote
 ORDER_MARGIN_S = 0.3  # of the right to promote that must be left for an order
 EFFECT_S = 3.0  # for an accepted order to take effect, then it is repeated
 EFFECT_LOOK_S = 0.15
 AGAIN_S = 0.1  # after a call that the store did not answer
 ABANDONED_S = 0.3  # before a promotion that can't go on is tried again
-RESUME_S = 0.5  # beyond a holder's time before another one goes on
-
-
-class Right(NamedTuple):
-    """The right to promote, and until when it is surely this proxy's."""
-
-    token: int
-    until: float
-    record: GroupRecord
-
-
-class Abandoned(Exception):
-    """The promotion can't go on; the reason is in the message."""
 
 
 class Promoter:
@@ -90,6 +65,8 @@
         reports: ServerReports,
     ) -> None:
         """Take the parts that the steps need."""
+        self._rights = PromotionRights(clock, tables, state, store)
+        self._choice = PromotionChoice(clock, tables, watch, reports)
         self._stopping = stopping
         self._clock = clock
         self._tables = tables
@@ -134,7 +111,9 @@
         if self._tables.draining:
             return None
         if record is None:
-            if self._state.records_read and self._claims(name):
+            if self._state.records_read and servers_that_claim(
+                self._tables, name
+            ):
                 return Trigger('no primary is recorded', planned=False)
             return None
         if record.changing and record.holder == self._tables.name:
@@ -156,13 +135,6 @@
             missing_is_gone=self._state.has_settled(now),
         )
 
-    def _claims(self, name: str) -> list[Server]:
-        return [
-            server
-            for server in self._tables.servers.values()
-            if server.group == name and server.claims_primary
-        ]
-
     def _start(self, name: str, trigger: Trigger) -> None:
         self._running = True
         log_event(
@@ -188,7 +160,7 @@
                 'promotion', group=name, step='store lost', reason=str(error)
             )
             await pause(self._clock, AGAIN_S)
-        except Abandoned as error:
+        except PromotionAbandoned as error:
             log_event(
                 'promotion', group=name, step='abandoned', reason=str(error)
             )
@@ -196,7 +168,7 @@
 
     async def _record_first(self, name: str) -> None:
         """Record the server that leads a group which has no record."""
-        claims = self._claims(name)
+        claims = servers_that_claim(self._tables, name)
         if len(claims) != 1:
             reports = await self._reports.gather(claims)
             claims = [
@@ -208,7 +180,7 @@
                 == max(report.term for report in reports.values())
             ]
         if len(claims) != 1:
-            raise Abandoned('no single server leads the group')
+            raise PromotionAbandoned('no single server leads the group')
         record = GroupRecord(name, claims[0].name)
         await self._store.transact(
             [Precondition(RECORDS_TABLE, group_key(name), 0)],
@@ -223,7 +195,7 @@
         }
         now = steady_seconds()
         if not may_begin_promotion(permissions, counted_by, now):
-            raise Abandoned('this proxy has joined only now')
+            raise PromotionAbandoned('this proxy has joined only now')
         permissions.begun.add(name)
         try:
             right = await self._begin(name, trigger)
@@ -234,79 +206,18 @@
 
     async def _begin(self, name: str, trigger: Trigger) -> Right:
         """Record that the promotion has begun."""
-        await self._read()
+        await self._rights.read()
         record = group_state(self._tables, name).record
-        duty = self._state.duty
-        now = steady_seconds()
-        if duty.holder not in {'', self._tables.name} and (
-            now - self._state.duty_seen_at < HOLDER_S + RESUME_S
-        ):
-            raise Abandoned(f'{duty.holder} carries out a promotion')
-        if record is None or self._trigger(name, now) is None:
-            raise Abandoned('the group is in order again')
+        if record is None or self._trigger(name, steady_seconds()) is None:
+            raise PromotionAbandoned('the group is in order again')
         self._resumed[name] = record.changing
-        begun = record._replace(
-            changing=True,
-            planned=trigger.planned,
-            holder=self._tables.name,
+        return await self._rights.take(
+            record._replace(
+                changing=True,
+                planned=trigger.planned,
+                holder=self._tables.name,
+            )
         )
-        return await self._take_right(begun, record.version, duty.version)
-
-    async def _take_right(
-        self, record: GroupRecord, version: int, duty_version: int
-    ) -> Right:
-        """Write the record together with the right to promote.
-
-        A call whose answer was lost may still take effect, so it is repeated
-        under the same preconditions until one of the two is certain.
-        """
-        nonce = secrets.token_hex(8)
-        own = self._tables.permissions.registered.get(self._tables.name)
-        if own is None or own.silent:
-            raise Abandoned('this proxy is not registered')
-        preconditions = [
-            # Nobody has marked this proxy as silent in the meantime.
-            Precondition(RECORDS_TABLE, proxy_key(own.name), own.version),
-            Precondition(RECORDS_TABLE, DUTY_KEY, duty_version),
-            Precondition(RECORDS_TABLE, group_key(record.group), version),
-        ]
-        puts = [
-            Put(RECORDS_TABLE, DUTY_KEY, encode_duty(self._tables.name, nonce)),
-            Put(RECORDS_TABLE, group_key(record.group), encode_group(record)),
-        ]
-        # Dated by the first call: any of the calls may be the one that won.
-        sent_at = steady_seconds()
-        await self._write_surely(record.group, preconditions, puts)
-        await self._read()
-        if self._state.duty.nonce != nonce:
-            raise Abandoned('another proxy was faster')
-        token = self._state.duty.version
-        held = group_state(self._tables, record.group).record
-        log_event('promotion', group=record.group, step='begun', token=token)
-        return Right(token, sent_at + HOLDER_S, held)
-
-    async def _write_surely(self, group: str, preconditions, puts) -> None:
-        uncertain = False
-        while True:
-            try:
-                await self._store.transact(preconditions, puts)
-                return
-            except StoreUnavailable as error:
-                uncertain = uncertain or error.uncertain
-                if not uncertain:
-                    raise
-                log_event(
-                    'promotion',
-                    group=group,
-                    step='uncertain',
-                    reason=str(error),
-                )
-            await pause(self._clock, AGAIN_S)
-
-    async def _read(self) -> None:
-        """Read the records; give up where the store does not answer."""
-        if not await self._state.read_records():
-            raise Abandoned('the store gives no answer')
 
     async def _wait_for_peers(self, right: Right) -> None:
         """Wait until no other proxy works with the old primary."""
@@ -347,113 +258,29 @@
         self, name: str, right: Right, trigger: Trigger
     ) -> None:
         record = right.record
-        leader = await self._present_leader(record)
+        leader = await self._choice.present_leader(
+            record, resumed=self._resumed.get(name, False)
+        )
         if leader is not None and leader[0] != record.primary:
             log_event('promotion', group=name, step='found', server=leader[0])
             await self._settle(right, leader[0], leader[1])
             return
-        chosen, term = await self._choose(record, planned=trigger.planned)
+        chosen, term = await self._choice.choose(
+            record, planned=trigger.planned
+        )
         if chosen is None:
             await self._settle(right, record.primary, record.term)
-            raise Abandoned('no replica can take over')
+            raise PromotionAbandoned('no replica can take over')
         right = await self._order(right, chosen)
         term = await self._wait_for_effect(right, chosen, term)
         await self._settle(right, chosen.name, term)
 
-    async def _present_leader(
-        self, record: GroupRecord
-    ) -> tuple[str, int] | None:
-        """Return the server that leads in the highest term, and its term."""
-        if not self._may_have_been_replaced(record):
-            return None
-        servers = [
-            server
-            for server in self._tables.servers.values()
-            if server.group == record.group
-        ]
-        reports = await self._reports.gather(servers)
-        leading = {
-            name: report.term
-            for name, report in reports.items()
-            if report.is_primary
-        }
-        newest = max((report.term for report in reports.values()), default=0)
-        return next(
-            ((name, term) for name, term in leading.items() if term == newest),
-            None,
-        )
-
-    def _may_have_been_replaced(self, record: GroupRecord) -> bool:
-        deposed = self._watch.deposed.get(record.group) == record.primary
-        claimed = any(
-            server.name != record.primary
-            for server in self._claims(record.group)
-        )
-        return deposed or claimed or self._resumed.get(record.group, False)
-
-    async def _choose(
-        self, record: GroupRecord, *, planned: bool
-    ) -> tuple[Server | None, int]:
-        """Return the replica that takes over and the highest known term."""
-        began_at = steady_seconds()
-        limit_s = CATCH_UP_S if planned else REPORTS_S
-        while True:
-            replicas = replicas_of(self._tables, record)
-            reports = await self._reports.gather(replicas)
-            late = steady_seconds() - began_at >= limit_s
-            primary = None
-            if planned:
-                primary = await self._primary_report(record)
-            best = best_replica(reports)
-            caught_up = primary is None or (
-                best is not None and reports[best].received >= primary.received
-            )
-            complete = len(reports) == len(replicas)
-            if best is not None and caught_up and (complete or late):
-                break
-            if late:
-                return None, 0
-            await pause(self._clock, STEP_S)
-        term = max(
-            report.term
-            for report in (*reports.values(), *filter(None, [primary]))
-        )
-        if planned:
-            await self._step_down(record, term + 1)
-        log_event(
-            'promotion',
-            group=record.group,
-            step='chosen',
-            server=best,
-            received=reports[best].received,
-            term=term,
-        )
-        return self._tables.servers.get(best), term
-
-    async def _primary_report(self, record: GroupRecord) -> Reported | None:
-        primary = self._tables.servers.get(record.primary)
-        if primary is None:
-            return None
-        return (await self._reports.gather([primary])).get(primary.name)
-
-    async def _step_down(self, record: GroupRecord, term: int) -> None:
-        primary = self._tables.servers.get(record.primary)
-        if primary is not None:
-            answer = await self._reports.ask(primary, StepDown(term))
-            log_event(
-                'promotion',
-                group=record.group,
-                step='stepped down',
-                server=primary.name,
-                answer=answer.kind.value,
-            )
-
     async def _order(self, right: Right, chosen: Server) -> Right:
         """Send the order until it is accepted."""
         record = right.record
         while True:
             if steady_seconds() > right.until - ORDER_MARGIN_S:
-                right = await self._renew(right)
+                right = await self._rights.renew(right)
             try:
                 answer = await self._store.promote(
                     record.group,
@@ -479,17 +306,9 @@
                 answer=answer.value,
             )
             if answer is PromoteAnswer.NOT_RUNNING:
-                raise Abandoned(f'{chosen.name} does not run')
+                raise PromotionAbandoned(f'{chosen.name} does not run')
             return right
 
-    async def _renew(self, right: Right) -> Right:
-        record = right.record
-        if self._state.duty.version != right.token:
-            raise Abandoned('another proxy has the right to promote')
-        return await self._take_right(
-            record, record.version, self._state.duty.version
-        )
-
     async def _wait_for_effect(
         self, right: Right, chosen: Server, term: int
     ) -> int:
@@ -500,49 +319,10 @@
             if report is not None and report.is_primary:
                 return report.term
             await pause(self._clock, EFFECT_LOOK_S)
-        raise Abandoned(f'{chosen.name} does not lead after the order')
+        raise PromotionAbandoned(f'{chosen.name} does not lead after the order')
 
     async def _settle(self, right: Right, primary: str, term: int) -> None:
-        """Record the primary that leads now and give the right back."""
-        record = right.record
-        settled = GroupRecord(record.group, primary, term)
-        while True:
-            try:
-                outcome = await self._store.transact(
-                    [
-                        Precondition(
-                            RECORDS_TABLE,
-                            group_key(record.group),
-                            record.version,
-                        )
-                    ],
-                    [
-                        Put(
-                            RECORDS_TABLE,
-                            group_key(record.group),
-                            encode_group(settled),
-                        ),
-                        Put(RECORDS_TABLE, DUTY_KEY, encode_duty('', '')),
-                    ],
-                )
-            except StoreUnavailable as error:
-                log_event(
-                    'promotion',
-                    group=record.group,
-                    step='unsettled',
-                    reason=str(error),
-                )
-                await pause(self._clock, AGAIN_S)
-                continue
-            break
-        self._watch.deposed.pop(record.group, None)
-        await self._state.read_records()
+        """Record the primary that leads now, and tell the peers."""
+        await self._rights.settle(right, primary, term)
+        self._watch.deposed.pop(right.record.group, None)
         self._gossip.share_records()
-        log_event(
-            'promotion',
-            group=record.group,
-            step='settled',
-            server=primary,
-            term=term,
-            first=not isinstance(outcome, Conflict),
-        )
