Bundle what sends statements; wait for connections, not for lost answers

Found on reading: single statements and transactions took the same five parts each, and counted work at primaries alike; they share Sending and PrimaryWork now. And a read without another eligible server had all the time left for its answer too, so one whose answer was lost was not asked again; only the wait for a connection is that long now. On primary routes a read that was refused for lack of capacity was offered four times at once; it is refused at once now.

Tests of the daemon, test_whole_path and test_lending_path pass.

--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -2,12 +2,9 @@
 
 from toucandeal.caller_sessions import CallerSession, OpenTransaction
 from toucandeal.fleet import Verb
-from toucandeal.fleet_tables import FleetTables
 from toucandeal.placement import Place, Refuse, place_read, place_write
-from toucandeald.acknowledging import Acknowledging
 from toucandeald.faults import log_fault
 from toucandeald.logs import log_event
-from toucandeald.refusal_pace import RefusalPace
 from toucandeald.replies import (
     NOTHING_RAN,
     RETRY_S,
@@ -18,7 +15,8 @@
     refused,
     reply,
 )
-from toucandeald.server_pools import SETUP_TIMEOUT_S, ServerPools
+from toucandeald.sending import Sending
+from toucandeald.server_pools import SETUP_TIMEOUT_S
 from toucandeald.session_messages import (
     AnswerKind,
     BeginTransaction,
@@ -28,7 +26,7 @@
     RollBack,
     ServerAnswer,
 )
-from toucandeald.statement_calls import Call, age_ms, counted
+from toucandeald.statement_calls import Call, age_ms
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = ['CallerTransactions']
@@ -39,20 +37,9 @@
 class CallerTransactions:
     """The open transactions' way to servers."""
 
-    def __init__(
-        self,
-        tables: FleetTables,
-        pools: ServerPools,
-        valid: Acknowledging,
-        pace: RefusalPace,
-        primary_work: dict[str, int],
-    ) -> None:
-        """Take the connections, and where work at primaries is counted."""
-        self._tables = tables
-        self._pools = pools
-        self._valid = valid
-        self._pace = pace
-        self._primary_work = primary_work
+    def __init__(self, parts: Sending) -> None:
+        """Take what sends statements."""
+        self._parts = parts
 
     async def run(self, call: Call, opened: OpenTransaction) -> CallerReply:
         """Run a statement inside a transaction and return its one reply."""
@@ -61,10 +48,10 @@
             if failure is not None:
                 return failure
         place = opened.place
-        with self._at_primary(place):
-            if not self._valid.is_current(place):
+        with self._parts.primary_work.at(place):
+            if not self._parts.valid.is_current(place):
                 return self._abort(call, 'the primary may have changed')
-            fits = await self._pools.fit(
+            fits = await self._parts.pools.fit(
                 place.server, opened.link, call.session, call.shapes
             )
             if not fits:
@@ -77,7 +64,7 @@
                 server=place.server.name,
                 epoch=place.epoch,
             )
-            answer = await self._pools.call(
+            answer = await self._parts.pools.call(
                 place.server,
                 opened.link,
                 Forward(call.identity, call.statement, call.prepared),
@@ -98,10 +85,14 @@
             now = steady_seconds()
             place = (
                 place_read(
-                    self._tables, call.route, call.session.seen, now, tried
+                    self._parts.tables,
+                    call.route,
+                    call.session.seen,
+                    now,
+                    tried,
                 )
                 if opened.read_only
-                else place_write(self._tables, call.route, now)
+                else place_write(self._parts.tables, call.route, now)
             )
             if isinstance(place, Refuse):
                 refusal = place
@@ -128,20 +119,18 @@
             epoch=place.epoch,
             reason=place.reason,
         )
-        link = await self._pools.acquire(
+        link = await self._parts.pools.acquire(
             place.server,
             call.session,
             call.shapes,
-            self._pace.claim(
-                call, place.server, call.deadline_at - steady_seconds()
-            ),
+            self._parts.pace.claim(call, place.server, call.left_s),
         )
         if link is None:
             return no_connection()
-        if not self._valid.is_current(place):
-            self._pools.release(place.server, link)
+        if not self._parts.valid.is_current(place):
+            self._parts.pools.release(place.server, link)
             return not_run('the primary may have changed')
-        answer = await self._pools.call(
+        answer = await self._parts.pools.call(
             place.server,
             link,
             BeginTransaction(opened.read_only, place.after),
@@ -152,16 +141,16 @@
             opened.place = place
             opened.used_at = steady_seconds()
         elif answer.in_transaction:
-            self._pools.discard(place.server, link)
+            self._parts.pools.discard(place.server, link)
         else:
-            self._pools.release(place.server, link)
+            self._parts.pools.release(place.server, link)
         return answer
 
     def _statement_answered(
         self, call: Call, opened: OpenTransaction, answer: ServerAnswer
     ) -> CallerReply:
         if answer.kind is AnswerKind.COMPLETED and answer.in_transaction:
-            if self._valid.is_current(opened.place):
+            if self._parts.valid.is_current(opened.place):
                 return done(call.session, answer)
             return self._abort(call, 'the primary may have changed')
         if answer.kind is AnswerKind.FAILED:
@@ -177,13 +166,13 @@
         session = call.session
         session.transaction = None
         if answer.in_transaction or answer.kind is AnswerKind.LOST:
-            self._pools.discard(place.server, opened.link)
+            self._parts.pools.discard(place.server, opened.link)
         else:
-            self._pools.release(place.server, opened.link)
+            self._parts.pools.release(place.server, opened.link)
         if answer.kind is AnswerKind.COMPLETED:
             if opened.wrote:
-                return await self._valid.acknowledge(call, place, answer)
-            return self._valid.answered(call, place, answer)
+                return await self._parts.valid.acknowledge(call, place, answer)
+            return self._parts.valid.answered(call, place, answer)
         if answer.kind in NOTHING_RAN or not opened.wrote:
             return reply(session, ReplyKind.ABORTED, answer.reason)
         if answer.kind is AnswerKind.FAILED:
@@ -233,7 +222,7 @@
             ending = self._roll_back(opened.place, link)
             ending.addErrback(log_fault)
         else:
-            self._pools.discard(opened.place.server, link)
+            self._parts.pools.discard(opened.place.server, link)
 
     def _roll_back(self, place: Place, link):
         ending = link.call(RollBack(), SETUP_TIMEOUT_S)
@@ -241,11 +230,8 @@
         def ended(answer: ServerAnswer) -> None:
             clean = answer.kind is AnswerKind.COMPLETED
             if clean and not answer.in_transaction:
-                self._pools.release(place.server, link)
+                self._parts.pools.release(place.server, link)
             else:
-                self._pools.discard(place.server, link)
+                self._parts.pools.discard(place.server, link)
 
         return ending.addCallback(ended)
-
-    def _at_primary(self, place: Place):
-        return counted(self._primary_work, place.server.group, place.on_primary)
--- a/packages/toucandeald/src/toucandeald/forwarding.py
+++ b/packages/toucandeald/src/toucandeald/forwarding.py
@@ -10,6 +10,7 @@
 from toucandeald.confirmations import Confirmations
 from toucandeald.refusal_pace import RefusalPace
 from toucandeald.replies import reply, unknown_database
+from toucandeald.sending import PrimaryWork, Sending
 from toucandeald.server_pools import ServerPools
 from toucandeald.session_messages import CallerReply, ReplyKind
 from toucandeald.single_statements import SingleStatements
@@ -19,10 +20,7 @@
 
 
 class Forwarding:
-    """What this proxy sends to servers.
-
-    `primary_work` counts the statements under way at each group's primary.
-    """
+    """What this proxy sends to servers."""
 
     def __init__(
         self,
@@ -33,16 +31,19 @@
         generator: random.Random,
     ) -> None:
         """Take the connections, what confirms writes, and luck."""
-        self.primary_work: dict[str, int] = {}
+        self.primary_work = PrimaryWork()
         self._tables = tables
         self._pace = RefusalPace(tables, generator)
-        valid = Acknowledging(tables, confirmations)
-        self.transactions = CallerTransactions(
-            tables, pools, valid, self._pace, self.primary_work
-        )
-        self._single = SingleStatements(
-            clock, tables, pools, valid, self._pace, self.primary_work
+        parts = Sending(
+            clock,
+            tables,
+            pools,
+            Acknowledging(tables, confirmations),
+            self._pace,
+            self.primary_work,
         )
+        self.transactions = CallerTransactions(parts)
+        self._single = SingleStatements(parts)
 
     async def forward(
         self,
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -121,7 +121,7 @@
 
     def works_with_primary(self, group: str) -> bool:
         """Return whether statements or transactions are open there."""
-        return self._forwarding.primary_work.get(group, 0) > 0 or any(
+        return self._forwarding.primary_work.is_under_way(group) or any(
             session.transaction is not None
             and session.transaction.link is not None
             and session.transaction.place.on_primary
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -1,19 +1,17 @@
 """Runs statements outside transactions, and again where nothing has run."""
 
-from toucandeal.fleet_tables import FleetTables
 from toucandeal.placement import Place, Refuse, place_read, place_write
-from toucandeald.acknowledging import Acknowledging
 from toucandeald.logs import log_event
-from toucandeald.refusal_pace import RefusalPace
 from toucandeald.replies import (
     NOTHING_RAN,
+    RETRY_S,
     no_connection,
     not_run,
     refusal_for,
     refused,
     reply,
 )
-from toucandeald.server_pools import ServerPools
+from toucandeald.sending import Sending
 from toucandeald.session_messages import (
     AnswerKind,
     CallerReply,
@@ -21,7 +19,7 @@
     ReplyKind,
     ServerAnswer,
 )
-from toucandeald.statement_calls import Call, age_ms, counted
+from toucandeald.statement_calls import Call, age_ms
 from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = ['SingleStatements']
@@ -31,28 +29,17 @@
 MAX_WRITE_ATTEMPTS = 3  # each only after a clear word that nothing ran
 READ_ATTEMPT_SHARE = 0.6  # of the aim, before a read is offered elsewhere
 ROUND_S = 0.03  # between two rounds, as long as a replica usually lags
+# What may be otherwise in a moment.
+PASSING = {AnswerKind.LAGGING, AnswerKind.NOT_RUN, AnswerKind.WITHHELD}
 MIN_READ_ATTEMPT_S = 0.12  # many times a read of a server in order
 
 
 class SingleStatements:
     """Reads and writes, each in a transaction of its own."""
 
-    def __init__(
-        self,
-        clock,
-        tables: FleetTables,
-        pools: ServerPools,
-        valid: Acknowledging,
-        pace: RefusalPace,
-        primary_work: dict[str, int],
-    ) -> None:
-        """Take the connections, and where work at primaries is counted."""
-        self._clock = clock
-        self._tables = tables
-        self._pools = pools
-        self._valid = valid
-        self._pace = pace
-        self._primary_work = primary_work
+    def __init__(self, parts: Sending) -> None:
+        """Take what sends statements."""
+        self._parts = parts
 
     async def run(self, call: Call) -> CallerReply:
         """Run a statement and return its one reply."""
@@ -71,12 +58,13 @@
             if place.server.name in tried:
                 tried = frozenset()  # another round begins
             tried |= {place.server.name}
-            alone = isinstance(self._place(call, tried), Refuse)
+            timeout_s = _read_timeout_s(call, attempt)
+            alone = not _is_untried(self._place(call, tried), tried)
             answer = await self._offer(
-                call, place, _read_timeout_s(call, attempt, alone=alone)
+                call, place, timeout_s, call.left_s if alone else timeout_s
             )
             if answer.kind is AnswerKind.COMPLETED:
-                return self._valid.answered(call, place, answer)
+                return self._parts.valid.answered(call, place, answer)
             if steady_seconds() >= call.deadline_at:
                 break
         if answer is None:
@@ -90,16 +78,18 @@
     ) -> Place | Refuse:
         """Return a server that was not tried, or any after a short pause."""
         place = self._place(call, tried)
-        if isinstance(place, Place) or answer is None:
+        if answer is None or _is_untried(place, tried):
             return place
+        if answer.kind is AnswerKind.LOST:
+            return self._place(call, frozenset())
         if not _is_worth_another_round(call, answer):
-            return place
-        await pause(self._clock, ROUND_S)
+            return Refuse(answer.reason, RETRY_S)
+        await pause(self._parts.clock, ROUND_S)
         return self._place(call, frozenset())
 
     def _place(self, call: Call, tried: frozenset[str]) -> Place | Refuse:
         return place_read(
-            self._tables,
+            self._parts.tables,
             call.route,
             call.session.seen,
             steady_seconds(),
@@ -111,11 +101,13 @@
         answer = not_run('no server can run it now')
         for _ in range(MAX_WRITE_ATTEMPTS):
             now = steady_seconds()
-            place = place_write(self._tables, call.route, now)
+            place = place_write(self._parts.tables, call.route, now)
             if isinstance(place, Refuse):
                 return refused(call.session, place)
-            with self._at_primary(place):
-                answer = await self._offer(call, place, call.deadline_at - now)
+            with self._parts.primary_work.at(place):
+                answer = await self._offer(
+                    call, place, call.left_s, call.left_s
+                )
                 if answer.kind not in NOTHING_RAN:
                     return await self._write_answered(call, place, answer)
             if steady_seconds() - call.began_at > call.patience_s:
@@ -131,12 +123,22 @@
             return reply(call.session, ReplyKind.TIMED_OUT, answer.reason)
         if answer.kind is AnswerKind.LOST:
             return reply(call.session, ReplyKind.UNKNOWN, answer.reason)
-        return await self._valid.acknowledge(call, place, answer)
+        return await self._parts.valid.acknowledge(call, place, answer)
 
     async def _offer(
-        self, call: Call, place: Place, timeout_s: float
+        self, call: Call, place: Place, timeout_s: float, wait_s: float
     ) -> ServerAnswer:
-        """Send a single statement to a server."""
+        """Send a single statement to a server.
+
+        Parameters
+        ----------
+        call : Call
+        place : Place
+        timeout_s : float
+            For the answer.
+        wait_s : float
+            In which a connection is of use.
+        """
         server = place.server
         log_event(
             'route',
@@ -147,50 +149,48 @@
             epoch=place.epoch,
             reason=place.reason,
         )
-        link = await self._pools.acquire(
+        link = await self._parts.pools.acquire(
             server,
             call.session,
             call.shapes,
-            self._pace.claim(call, server, timeout_s),
+            self._parts.pace.claim(call, server, wait_s),
         )
         if link is None:
             return no_connection()
-        if not self._valid.is_current(place):
-            self._pools.release(server, link)
+        if not self._parts.valid.is_current(place):
+            self._parts.pools.release(server, link)
             return not_run('the primary may have changed')
         request = Forward(
             call.identity, call.statement, call.prepared, place.after
         )
-        answer = await self._pools.call(server, link, request, timeout_s)
+        answer = await self._parts.pools.call(server, link, request, timeout_s)
         if answer.kind is AnswerKind.UNKNOWN_STATEMENT:
             link.laid.shapes.clear()
         if answer.in_transaction:
-            self._pools.discard(server, link)
+            self._parts.pools.discard(server, link)
         else:
-            self._pools.release(server, link)
+            self._parts.pools.release(server, link)
         return answer
 
-    def _at_primary(self, place: Place):
-        return counted(self._primary_work, place.server.group, place.on_primary)
+
+def _is_untried(place: Place | Refuse, tried: frozenset[str]) -> bool:
+    """Return whether a place is a server that was not tried yet."""
+    return isinstance(place, Place) and place.server.name not in tried
 
 
 def _is_worth_another_round(call: Call, answer: ServerAnswer) -> bool:
     """Return whether the servers are likely to run the read in a moment.
 
-    A replica that lagged may have caught up, and a full queue have moved.
+    A replica that lagged may have caught up, a full queue have moved, and a
+    primary been confirmed.
     """
-    passing = answer.kind in {AnswerKind.LAGGING, AnswerKind.NOT_RUN}
     past_s = steady_seconds() - call.began_at
-    return passing and past_s < call.route.aim_s
+    return answer.kind in PASSING and past_s < call.route.aim_s
 
 
-def _read_timeout_s(call: Call, attempt: int, *, alone: bool) -> float:
-    """Return how long an attempt of a read waits for its answer.
-
-    The first attempts leave time for another server, if there is another one.
-    """
-    left_s = call.deadline_at - steady_seconds()
-    if alone or attempt >= FULL_READ_ATTEMPT:
-        return left_s
+def _read_timeout_s(call: Call, attempt: int) -> float:
+    """Return how long an attempt of a read waits for its answer."""
+    if attempt >= FULL_READ_ATTEMPT:
+        return call.left_s
     share_s = call.route.aim_s * READ_ATTEMPT_SHARE
-    return min(left_s, max(share_s, MIN_READ_ATTEMPT_S))
+    return min(call.left_s, max(share_s, MIN_READ_ATTEMPT_S))
--- a/packages/toucandeald/src/toucandeald/statement_calls.py
+++ b/packages/toucandeald/src/toucandeald/statement_calls.py
@@ -1,7 +1,5 @@
 """A caller's statement on its way to a server."""
 
-import contextlib
-from collections.abc import Iterator
 from typing import NamedTuple
 
 from toucandeal.caller_sessions import CallerSession, PreparedShape
@@ -10,24 +8,13 @@
 from toucandeal.statement_queue import Claim
 from toucandeald.steady_clock import steady_seconds
 
-__all__ = ['Call', 'age_ms', 'counted']
+__all__ = ['Call', 'age_ms']
 
 MS = 1000
 
 PATIENCE_SHARE = 0.6  # of the aim, in which a statement may be tried again
 
 
-@contextlib.contextmanager
-def counted(counts: dict[str, int], name: str, applies: bool) -> Iterator[None]:
-    """Count work of `name` for as long as it lasts."""
-    step = 1 if applies else 0
-    counts[name] = counts.get(name, 0) + step
-    try:
-        yield
-    finally:
-        counts[name] -= step
-
-
 class Call(NamedTuple):
     """A statement on its way."""
 
@@ -55,6 +42,11 @@
         """Return when the statement is given up."""
         return self.began_at + self.route.timeout_s
 
+    @property
+    def left_s(self) -> float:
+        """Return the time until then."""
+        return self.deadline_at - steady_seconds()
+
     @property
     def patience_s(self) -> float:
         """Return for how long it may be tried again after a refusal."""
