--- a/packages/toucandeal/src/toucandeal/statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/statement_queue.py
@@ -9,7 +9,7 @@
   are taken by fair queueing among databases, so the others wait no longer than
   before.
 - Overload that lasts: who would wait for longer than an answer is of use is
-  refused at once, and told when the queue will have drained.
+  refused at once, and told when to come back.
 """
 
 from typing import NamedTuple
