Work out holders and the next server once; one lost answer

Found on reading the change once more, behaviour as before: - Each read placed itself twice to learn whether another server was left; the placement tells it now (Place.alone), since it has the candidates at hand. - The proxies that hold a server's connections were worked out up to four times an upkeep, in two modules; Borrowing.holders is the one place. - The answer that stands for one that did not come was built by three equal functions; session_messages.lost serves all.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -23,7 +23,7 @@
 from toucandeald.lending_wire import Answered, Lent
 from toucandeald.measures import Measures
 from toucandeald.server_pools import ServerPools
-from toucandeald.session_messages import AnswerKind, ServerAnswer
+from toucandeald.session_messages import ServerAnswer, lost
 from toucandeald.session_service import SessionService
 from toucandeald.steady_clock import pause
 
@@ -95,11 +95,15 @@
     def send(self, address: str, message) -> None:
         """Send a message to another proxy, which is at the address."""
         around = self._around
-        sizes = around.deployment
-        other = around.running[address]
-        near = other.place.failure_domain == self.place.failure_domain
+        delay_s = self._delay_s(around.running[address].place.failure_domain)
+        around.clock.callLater(delay_s, self._arrive, address, message)
+
+    def _delay_s(self, failure_domain: str) -> float:
+        """Return the time of one way to a failure domain."""
+        sizes = self._around.deployment
+        near = failure_domain == self.place.failure_domain
         delay_ms = sizes.near_ms if near else sizes.far_ms
-        around.clock.callLater(delay_ms / MS, self._arrive, address, message)
+        return delay_ms / MS
 
     def _arrive(self, address: str, message) -> None:
         other = self._around.running[address]
@@ -163,20 +167,17 @@
         target = next(
             each for each in group.servers if each.described == server
         )
-        sizes = around.deployment
-        near = server.failure_domain == self.place.failure_domain
-        delay_ms = sizes.near_ms if near else sizes.far_ms
-        delay_s = delay_ms / MS
+        delay_s = self._delay_s(server.failure_domain)
         if target.dark or not self.running:
             await pause(around.clock, timeout_s)
-            return ServerAnswer(AnswerKind.LOST, [], '', 'no answer in time')
+            return lost('no answer in time')
         await pause(around.clock, 3 * delay_s)  # TCP's handshake, the start
         link = await target.open(delay_s, _work_of(around.work_s))
         await pause(around.clock, delay_s)
         if isinstance(link, ServerAnswer):
             return link
         if not self.running:
-            link.close(sizes.linger_s)
+            link.close(around.deployment.linger_s)
         self._links.append(link)
         return link
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
@@ -19,6 +19,7 @@
     ReportStatus,
     RollBack,
     ServerAnswer,
+    lost,
 )
 from toucandeald.steady_clock import pause
 
@@ -177,7 +178,7 @@
 
         def overdue() -> None:
             self.close()
-            answered.callback(_lost('no answer in time'))
+            answered.callback(lost('no answer in time'))
 
         timer = clock.callLater(timeout_s, overdue)
 
@@ -286,10 +287,6 @@
         )
 
 
-def _lost(reason: str) -> ServerAnswer:
-    return ServerAnswer(AnswerKind.LOST, [], '', reason)
-
-
 def _unheard(link: ModelLink) -> None:
     """Stand in until a pool has taken the connection."""
 
--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -36,7 +36,8 @@
 class Place(NamedTuple):
     """The server for a statement; `after` is the position it must hold.
 
-    `sampled_at` is when the sample was taken that asks for this position.
+    `sampled_at` is when the sample was taken that asks for this position, and
+    `alone` whether no other server that was not tried may run the statement.
     """
 
     server: Server
@@ -45,6 +46,7 @@
     epoch: int
     reason: str
     sampled_at: float | None = None
+    alone: bool = True
 
 
 class Needed(NamedTuple):
@@ -116,8 +118,11 @@
     if not costs:
         return _no_primary(group)
     best = min(costs, key=costs.__getitem__)
+    alone = len(costs) == 1
     if best is primary:
-        return Place(best, None, True, group.epoch, 'least expected wait')
+        return Place(
+            best, None, True, group.epoch, 'least expected wait', alone=alone
+        )
     return Place(
         best,
         needed.position,
@@ -125,6 +130,7 @@
         group.epoch,
         'least expected wait',
         needed.sampled_at,
+        alone,
     )
 
 
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -24,6 +24,7 @@
     AnswerKind,
     LinkRequest,
     ServerAnswer,
+    lost,
 )
 from toucandeald.steady_clock import steady_seconds
 
@@ -32,9 +33,7 @@
 LENDER_SILENT_S = 0.7  # more than two beats; then another one is asked
 WAY_S = 0.05  # to the lender and back, beyond the time for the server's answer
 
-LENDERS_LOST_S = (
-    1.0  # without any lender; after a start, peers are heard by then
-)
+LENDERS_LOST_S = 1.0  # without any lender; peers are heard by then
 
 OWN = ''
 NOWHERE = '-'
@@ -75,7 +74,7 @@
     def call(self, request: LinkRequest, timeout_s: float) -> defer.Deferred:
         """Send a request and return a Deferred of its `ServerAnswer`."""
         if not self.usable or self.busy:
-            return defer.succeed(_lost('the connection is closed'))
+            return defer.succeed(lost('the connection is closed'))
         self._turn += 1
         self._answer = defer.Deferred()
         self._timer = self._clock.callLater(
@@ -116,7 +115,7 @@
         """End the loan; what is outstanding has no answer."""
         self._end(sound=False)
         if self._answer is not None:
-            self._deliver(_lost(reason))
+            self._deliver(lost(reason))
 
     def _end(self, *, sound: bool) -> None:
         self.usable = False
@@ -152,6 +151,16 @@
         self._links: dict[int, BorrowedLink] = {}
         self._without_since: dict[str, float] = {}
 
+    def holders(self, server: Server) -> list[str]:
+        """Return the proxies that hold connections to a server."""
+        tables = self._tables
+        configuration = tables.configuration
+        if configuration is None or server.group not in configuration.groups:
+            return [tables.name]
+        limit = configuration.groups[server.group].connection_limit
+        counted = counted_proxies(tables.permissions) | {tables.name}
+        return lenders(server.name, counted, limit)
+
     def source(self, server: Server) -> str:
         """Return where this proxy gets connections to a server.
 
@@ -162,14 +171,8 @@
             as a lender does; `NOWHERE` while no lender is heard. After a
             while without any, a proxy opens its own as well.
         """
-        tables = self._tables
-        configuration = tables.configuration
-        if configuration is None or server.group not in configuration.groups:
-            return OWN
-        limit = configuration.groups[server.group].connection_limit
-        counted = counted_proxies(tables.permissions) | {tables.name}
-        holding = lenders(server.name, counted, limit)
-        if tables.name in holding:
+        holding = self.holders(server)
+        if self._tables.name in holding:
             return OWN
         now = steady_seconds()
         lender = self._alive_lender(server, holding, now)
@@ -266,10 +269,6 @@
             waiting.callback(lent)
 
 
-def _lost(reason: str) -> ServerAnswer:
-    return ServerAnswer(AnswerKind.LOST, [], '', reason)
-
-
 def _ignore(link: BorrowedLink) -> None:
     """Take no note of the end of a loan."""
 
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -22,7 +22,12 @@
 from toucandeald.logs import log_event
 from toucandeald.primary_watch import PrimaryWatch
 from toucandeald.promotion_choice import PromotionChoice, servers_that_claim
-from toucandeald.promotion_rights import RESUME_S, PromotionRights, Right
+from toucandeald.promotion_rights import (
+    AGAIN_S,
+    RESUME_S,
+    PromotionRights,
+    Right,
+)
 from toucandeald.server_reports import ServerReports
 from toucandeald.shared_records import (
     RECORDS_TABLE,
@@ -46,7 +51,6 @@
 ORDER_MARGIN_S = 0.3  # of the right to promote that must be left for an order
 EFFECT_S = 3.0  # for an accepted order to take effect, then it is repeated
 EFFECT_LOOK_S = 0.15
-AGAIN_S = 0.1  # after a call that the store did not answer
 ABANDONED_S = 0.3  # before a promotion that can't go on is tried again
 
 
--- a/packages/toucandeald/src/toucandeald/promotion_rights.py
+++ b/packages/toucandeald/src/toucandeald/promotion_rights.py
@@ -25,7 +25,7 @@
 from toucandeald.shared_store import Precondition, Put
 from toucandeald.steady_clock import pause, steady_seconds
 
-__all__ = ['RESUME_S', 'PromotionRights', 'Right']
+__all__ = ['AGAIN_S', 'RESUME_S', 'PromotionRights', 'Right']
 
 AGAIN_S = 0.1  # after a call that the store did not answer
 RESUME_S = 0.5  # beyond a holder's time before another one goes on
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -16,8 +16,6 @@
     record_position,
     server_load,
 )
-from toucandeal.lending import lenders
-from toucandeal.permissions import counted_proxies
 from toucandeal.promotion import Reported
 from toucandeal.statement_queue import Claim
 from toucandeald.borrowing import NOT_LENT, NOWHERE, OWN, Borrowing
@@ -96,7 +94,6 @@
                 load.demand = decayed_demand(load.demand, pool.peak)
                 pool.begin_period()
                 self._limit(pool)
-                pool.keeps_idle = self._borrowing.source(server) == OWN
                 holds = pool.keeps_idle and not server.leaving
                 warm = WARM_LINKS if holds else 0
                 pool.trim(warm)
@@ -226,12 +223,25 @@
         declared = configuration.groups.get(pool.server.group)
         if declared is None:
             return
-        limit = declared.connection_limit
-        if self._borrowing.source(pool.server) != OWN:
+        pool.keeps_idle = self._borrowing.source(pool.server) == OWN
+        if not pool.keeps_idle:
             pool.limit = MOST_BORROWED
             return
-        demands = _demands(self._tables, pool.server, limit)
-        pool.limit = connection_share(limit, demands, self._tables.name)
+        demands = self._demands(pool.server)
+        pool.limit = connection_share(
+            declared.connection_limit, demands, self._tables.name
+        )
+
+    def _demands(self, server: Server) -> dict[str, float]:
+        """Return what each holder of connections could use of a server."""
+        tables = self._tables
+        told = {
+            name: tables.peers[name].demands.get(server.name, 0)
+            if name in tables.peers
+            else 0
+            for name in self._borrowing.holders(server)
+        }
+        return told | {tables.name: server_load(tables, server.name).demand}
 
     def _answered(
         self, server: Server, answer: ServerAnswer, sent_at: float, now: float
@@ -271,19 +281,5 @@
             self.on_suspicion(server, refusal.reason)
 
 
-def _demands(
-    tables: FleetTables, server: Server, limit: int
-) -> dict[str, float]:
-    """Return what each proxy that holds connections could use of a server."""
-    counted = counted_proxies(tables.permissions) | {tables.name}
-    demands = {
-        name: tables.peers[name].demands.get(server.name, 0)
-        if name in tables.peers
-        else 0
-        for name in lenders(server.name, counted, limit)
-    }
-    return demands | {tables.name: server_load(tables, server.name).demand}
-
-
 def _ignore(server: Server, reason: str) -> None:
     log_event('suspicion ignored', server=server.name, reason=reason)
--- a/packages/toucandeald/src/toucandeald/session_messages.py
+++ b/packages/toucandeald/src/toucandeald/session_messages.py
@@ -24,6 +24,7 @@
     'RollBack',
     'ServerAnswer',
     'StepDown',
+    'lost',
 ]
 
 
@@ -97,6 +98,17 @@
     report: Reported | None = None
 
 
+def lost(reason: str) -> ServerAnswer:
+    """Return the answer that stands for one that did not come.
+
+    Examples
+    --------
+    >>> lost('the answer is overdue').kind
+    <AnswerKind.LOST: 'lost'>
+    """
+    return ServerAnswer(AnswerKind.LOST, [], '', reason)
+
+
 class Forward(NamedTuple):
     """A caller's statement, sent on under its own identity.
 
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -59,10 +59,8 @@
                 tried = frozenset()  # another round begins
             tried |= {place.server.name}
             timeout_s = _read_timeout_s(call, attempt)
-            alone = not _is_untried(self._place(call, tried), tried)
-            answer = await self._offer(
-                call, place, timeout_s, call.left_s if alone else timeout_s
-            )
+            wait_s = call.left_s if place.alone else timeout_s
+            answer = await self._offer(call, place, timeout_s, wait_s)
             if answer.kind is AnswerKind.COMPLETED:
                 return self._parts.valid.answered(call, place, answer)
             if steady_seconds() >= call.deadline_at:
