--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/simulation.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/simulation.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from toucandeal.fleet import GroupRecord
+from toucandeal.store_versions import StoreVersion
 from toucandeal_standins.load_model.callers import (
     Arrival,
     Callers,
@@ -69,7 +70,10 @@
         }
         self.records = {
             name: GroupRecord(
-                name, group.primary.server_record.name, group.term, version=1
+                name,
+                group.primary.server_record.name,
+                group.term,
+                version=StoreVersion(0, 1),
             )
             for name, group in self.groups.items()
         }
@@ -171,7 +175,9 @@
         record = self.records['g0']
 
         def start_promotion() -> None:
-            self._record(record._replace(changing=True, version=2))
+            self._record(
+                record._replace(changing=True, version=StoreVersion(0, 2))
+            )
             self.clock.callLater(self.deployment.promote_ms / MS_PER_S, promote)
 
         def promote() -> None:
@@ -182,7 +188,10 @@
             group.promote(best)
             self._record(
                 GroupRecord(
-                    'g0', best.server_record.name, group.term, version=3
+                    'g0',
+                    best.server_record.name,
+                    group.term,
+                    version=StoreVersion(0, 3),
                 )
             )
 
--- a/packages/toucandeal/src/toucandeal/fleet.py
+++ b/packages/toucandeal/src/toucandeal/fleet.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from toucandeal.positions import LogPosition
+from toucandeal.store_versions import NO_VERSION, StoreVersion
 
 __all__ = [
     'FleetConfiguration',
@@ -96,7 +97,7 @@
         there may finish.
     holder : str
         The proxy that carries out the promotion.
-    version : int
+    version : StoreVersion
         Of the row; increases with each change.
     """
 
@@ -106,7 +107,7 @@
     changing: bool = False
     planned: bool = False
     holder: str = ''
-    version: int = 0
+    version: StoreVersion = NO_VERSION
 
 
 class ProxyRecord(NamedTuple):
@@ -120,7 +121,7 @@
     incarnation: int
     address: str
     silent: bool = False
-    version: int = 0
+    version: StoreVersion = NO_VERSION
 
 
 class Verb(enum.Enum):
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -91,6 +91,7 @@
     primary_heard: dict[str, float]
     demands: Mapping[str, float] = MappingProxyType({})
     failure_domain: str = ''
+    store_era: int = 0
 
 
 class FleetTables:
--- a/packages/toucandeal/src/toucandeal/primary_lease.py
+++ b/packages/toucandeal/src/toucandeal/primary_lease.py
@@ -13,19 +13,26 @@
 A peer relays its own lease. The age of a relayed lease is counted from the
 time at which this proxy had sent the message that the peer echoes, so clocks
 of different proxies are never compared.
+
+A store that was restored from an older copy grants no lease until its records
+are confirmed (see :mod:`toucandeal.store_recovery`); peers go on granting
+leases as they do while the store is away.
 """
 
 import math
 from typing import NamedTuple
 
 from toucandeal.fleet import GroupRecord, ProxyRecord
+from toucandeal.store_versions import NO_VERSION, StoreVersion
 
 __all__ = [
     'LEASE_DURATION_S',
     'LEASE_MARGIN_S',
     'PEER_LEASE_LIMIT_S',
+    'PeerGrant',
     'PeerLeaseReport',
     'PrimaryLease',
+    'begin_era',
     'counted_proxies',
     'lease_expires_at',
     'leases_expired_at',
@@ -48,10 +55,17 @@
 
     incarnation: int
     as_of: float
+    era: int = 0
 
 
 class PrimaryLease:
-    """The evidence for this proxy's lease on the groups' primaries."""
+    """The evidence for this proxy's lease on the groups' primaries.
+
+    `members` are the proxies that were registered when the store's present
+    era began, as of `members_as_of`. Those of them that the restored list
+    lacks are in `vanished`: they count until they register again. `confirmed`
+    is whether the records are valid in that era.
+    """
 
     def __init__(self, name: str) -> None:
         """Start without a lease."""
@@ -62,41 +76,96 @@
         self.peer_grants: dict[str, PeerGrant] = {}
         self.promoting_groups: set[str] = set()
         self.joined_at = math.inf
+        self.era = 0
+        self.confirmed = True
+        self.era_began_at = -math.inf
+        self.members: dict[str, ProxyRecord] = {}
+        self.members_as_of = -math.inf
+        self.vanished: dict[str, ProxyRecord] = {}
+
+
+def begin_era(lease: PrimaryLease, era: int, now: float) -> None:
+    """Note that the store is in a new era.
+
+    The registered proxies count until they have had time to register again.
+    """
+    lease.era = era
+    lease.confirmed = False
+    lease.era_began_at = now
+    lease.members = lease.registered
+    lease.members_as_of = lease.registered_as_of
+    lease.vanished = {
+        record.name: record._replace(version=NO_VERSION)
+        for record in lease.registered.values()
+    }
+    lease.joined_at = math.inf
 
 
 def record_store_read(
-    lease: PrimaryLease, as_of: float, proxies: dict[str, ProxyRecord]
+    lease: PrimaryLease,
+    as_of: float,
+    proxies: dict[str, ProxyRecord],
+    *,
+    confirmed: bool = True,
 ) -> None:
-    """Renew the lease from a read of the records that was sent at `as_of`."""
+    """Renew the lease from a read of the records that was sent at `as_of`.
+
+    Parameters
+    ----------
+    lease : PrimaryLease
+    as_of : float
+    proxies : dict
+        The registered proxies by name. Promotions wait for these alone, so a
+        proxy that is not registered gets no lease.
+    confirmed : bool
+        Whether the records are valid in the store's present era.
+    """
     if as_of <= lease.registered_as_of:
         return
-    lease.store_as_of = max(lease.store_as_of, as_of)
-    lease.registered = proxies
+    if confirmed and lease.name in proxies:
+        lease.store_as_of = max(lease.store_as_of, as_of)
+    lease.confirmed = confirmed
+    _forget_vanished(lease, as_of, proxies)
+    lease.registered = {**lease.vanished, **proxies}
     lease.registered_as_of = as_of
-    if lease.name not in counted_proxies(lease):
+    if lease.name not in proxies or proxies[lease.name].silent:
         lease.joined_at = math.inf
     elif math.isinf(lease.joined_at):
         lease.joined_at = as_of
 
 
+def _forget_vanished(
+    lease: PrimaryLease, now: float, proxies: dict[str, ProxyRecord]
+) -> None:
+    if now - lease.era_began_at > PEER_LEASE_LIMIT_S + LEASE_DURATION_S:
+        lease.vanished = {}
+    lease.vanished = {
+        name: record
+        for name, record in lease.vanished.items()
+        if name not in proxies
+    }
+
+
 class PeerLeaseReport(NamedTuple):
     """What a peer reports that may renew this proxy's lease.
 
-    `lease_age_s` is the age of the peer's own lease from the store, and
-    `records_version` the version of the shared records that it has.
+    `lease_age_s` is the age of the peer's own lease from the store,
+    `records_version` the version of the shared records that it has, and
+    `store_era` the newest era of the store that it knows of.
     """
 
     name: str
     incarnation: int
-    records_version: int
+    records_version: StoreVersion
     lease_age_s: float
     no_promotion_begun: bool
+    store_era: int = 0
 
 
 def renew_from_peer(
     lease: PrimaryLease,
     report: PeerLeaseReport,
-    records_version: int,
+    records_version: StoreVersion,
     sent_after: float,
 ) -> None:
     """Renew the lease from a peer's report.
@@ -105,7 +174,7 @@
     ----------
     lease : PrimaryLease
     report : PeerLeaseReport
-    records_version : int
+    records_version : StoreVersion
         Of the records that this proxy has. The report of a peer with newer
         records proves nothing about the older ones.
     sent_after : float
@@ -115,32 +184,47 @@
         return
     lease.store_as_of = max(lease.store_as_of, sent_after - report.lease_age_s)
     if report.no_promotion_begun:
-        record_peer_grant(lease, report.name, report.incarnation, sent_after)
+        record_peer_grant(
+            lease,
+            report.name,
+            PeerGrant(report.incarnation, sent_after, report.store_era),
+        )
 
 
-def record_peer_grant(
-    lease: PrimaryLease, name: str, incarnation: int, as_of: float
-) -> None:
+def record_peer_grant(lease: PrimaryLease, name: str, grant: PeerGrant) -> None:
     """Record a peer's confirmation that it has begun no promotion."""
     known = lease.peer_grants.get(name)
-    if known is None or known.incarnation != incarnation:
-        lease.peer_grants[name] = PeerGrant(incarnation, as_of)
-    elif as_of > known.as_of:
-        lease.peer_grants[name] = known._replace(as_of=as_of)
+    if (
+        known is None
+        or known.incarnation != grant.incarnation
+        or grant.as_of > known.as_of
+    ):
+        lease.peer_grants[name] = grant
 
 
 def counted_proxies(lease: PrimaryLease) -> set[str]:
     """Return the registered proxies that are not marked as silent."""
-    return {
-        record.name for record in lease.registered.values() if not record.silent
-    }
+    return _not_silent(lease.registered)
+
+
+def _members(lease: PrimaryLease) -> set[str]:
+    """Return the proxies that counted when the store's era began.
+
+    A peer that is marked as silent since then may have begun a promotion that
+    the restored store lacks, so it still has to confirm that it has not.
+    """
+    return _not_silent(lease.members)
+
+
+def _not_silent(records: dict[str, ProxyRecord]) -> set[str]:
+    return {record.name for record in records.values() if not record.silent}
 
 
 def _peer_grants_as_of(lease: PrimaryLease, now: float) -> float:
     """Return the time of the oldest confirmation among the counted peers."""
     if now - lease.registered_as_of > PEER_LEASE_LIMIT_S:
         return -math.inf
-    counted = counted_proxies(lease)
+    counted = counted_proxies(lease) if lease.confirmed else _members(lease)
     if lease.name not in counted:
         return -math.inf
     others = counted - {lease.name}
@@ -151,8 +235,20 @@
 
 
 def _peer_grant_as_of(lease: PrimaryLease, name: str) -> float:
+    """Return the time of a peer's confirmation, or minus infinity.
+
+    In a restored store, a restarted peer does not find the promotions that it
+    had begun, so it cannot confirm that there were none.
+    """
     grant = lease.peer_grants.get(name)
-    return -math.inf if grant is None else grant.as_of
+    if grant is None:
+        return -math.inf
+    if (
+        not lease.confirmed
+        and grant.incarnation != lease.members[name].incarnation
+    ):
+        return -math.inf
+    return grant.as_of
 
 
 def lease_expires_at(lease: PrimaryLease, now: float) -> float:
--- a/packages/toucandeal/src/toucandeal/tests/sample_tables.py
+++ b/packages/toucandeal/src/toucandeal/tests/sample_tables.py
@@ -12,6 +12,7 @@
 from toucandeal.fleet_tables import FleetTables, apply_record, record_position
 from toucandeal.positions import LogPosition
 from toucandeal.primary_lease import record_store_read
+from toucandeal.store_versions import StoreVersion
 
 __all__ = [
     'NOW',
@@ -39,7 +40,7 @@
         tables.servers[name] = Server(
             name, 'g', f'{name}:1', 'z1', 2, False, name == 'a'
         )
-    apply_record(tables, GroupRecord('g', 'a', 3, version=1))
+    apply_record(tables, GroupRecord('g', 'a', 3, version=StoreVersion(0, 1)))
     renew_lease(tables, NOW)
     return tables
 
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -11,6 +11,7 @@
     place_write,
 )
 from toucandeal.positions import NOTHING_SEEN, LogPosition
+from toucandeal.store_versions import StoreVersion
 from toucandeal.tests.sample_tables import (
     NOW,
     new_route,
@@ -45,7 +46,10 @@
 
 def test_a_write_during_a_promotion_is_refused():
     tables = new_tables()
-    apply_record(tables, GroupRecord('g', 'a', 3, changing=True, version=2))
+    apply_record(
+        tables,
+        GroupRecord('g', 'a', 3, changing=True, version=StoreVersion(0, 2)),
+    )
     refusal = place_write(tables, new_route(), NOW)
     assert refusal.reason == 'a promotion is under way'
 
@@ -105,7 +109,7 @@
 def test_a_position_of_an_earlier_term_does_not_block_reads():
     tables = new_tables()
     record_primary_position(tables, 7, NOW)
-    apply_record(tables, GroupRecord('g', 'b', 4, version=2))
+    apply_record(tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)))
     record_primary_position(tables, 6, NOW, term=4)
     assert _read(tables, seen=LogPosition(3, 99)).after == LogPosition(4, 6)
 
@@ -113,7 +117,7 @@
 def test_samples_of_a_superseded_primary_are_dropped():
     tables = new_tables()
     record_primary_position(tables, 7, NOW)
-    apply_record(tables, GroupRecord('g', 'b', 4, version=2))
+    apply_record(tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)))
     record_position(tables, tables.servers['a'], LogPosition(3, 8), NOW, NOW)
     assert _read(tables).server.name == 'b'
 
--- a/packages/toucandeal/src/toucandeal/tests/test_primary_lease.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_primary_lease.py
@@ -18,6 +18,7 @@
     LEASE_DURATION_S,
     LEASE_MARGIN_S,
     PEER_LEASE_LIMIT_S,
+    PeerGrant,
     PeerLeaseReport,
     PrimaryLease,
     lease_expires_at,
@@ -28,8 +29,9 @@
     record_store_read,
     renew_from_peer,
 )
+from toucandeal.store_versions import StoreVersion
 
-RECORD = GroupRecord('g', 'a', version=1)
+RECORD = GroupRecord('g', 'a', version=StoreVersion(0, 1))
 NAMES = ('p1', 'p2', 'p3')
 PROXIES = {name: ProxyRecord(name, 1, f'{name}:1') for name in NAMES}
 
@@ -58,9 +60,9 @@
 def test_grants_of_all_peers_renew_the_lease_without_the_store():
     lease = PrimaryLease('p1')
     record_store_read(lease, 10.0, PROXIES)
-    record_peer_grant(lease, 'p2', 1, 14.0)
+    record_peer_grant(lease, 'p2', PeerGrant(1, 14.0))
     assert not may_use_primary(lease, RECORD, 14.5)
-    record_peer_grant(lease, 'p3', 1, 14.2)
+    record_peer_grant(lease, 'p3', PeerGrant(1, 14.2))
     assert may_use_primary(lease, RECORD, 14.5)
     assert not may_use_primary(lease, RECORD, 14.0 + LEASE_DURATION_S)
 
@@ -70,16 +72,16 @@
     record_store_read(lease, 10.0, PROXIES)
     late = 10.0 + PEER_LEASE_LIMIT_S + 0.1
     for name in ('p2', 'p3'):
-        record_peer_grant(lease, name, 1, late)
+        record_peer_grant(lease, name, PeerGrant(1, late))
     assert not may_use_primary(lease, RECORD, late)
 
 
 def test_an_earlier_grant_does_not_replace_a_later_one():
     lease = PrimaryLease('p1')
-    record_peer_grant(lease, 'p2', 1, 14.0)
-    record_peer_grant(lease, 'p2', 1, 13.0)
+    record_peer_grant(lease, 'p2', PeerGrant(1, 14.0))
+    record_peer_grant(lease, 'p2', PeerGrant(1, 13.0))
     assert lease.peer_grants['p2'].as_of == 14.0
-    record_peer_grant(lease, 'p2', 2, 13.5)
+    record_peer_grant(lease, 'p2', PeerGrant(2, 13.5))
     assert lease.peer_grants['p2'].as_of == 13.5
 
 
@@ -95,11 +97,13 @@
 def test_the_report_of_a_peer_with_newer_records_is_ignored():
     lease = PrimaryLease('p1')
     record_store_read(lease, 10.0, PROXIES)
-    record_peer_grant(lease, 'p3', 1, 14.0)
-    newer = PeerLeaseReport('p2', 1, 2, 0.0, no_promotion_begun=True)
-    renew_from_peer(lease, newer, 1, 14.0)
+    record_peer_grant(lease, 'p3', PeerGrant(1, 14.0))
+    newer = PeerLeaseReport(
+        'p2', 1, StoreVersion(0, 2), 0.0, no_promotion_begun=True
+    )
+    renew_from_peer(lease, newer, StoreVersion(0, 1), 14.0)
     assert not may_use_primary(lease, RECORD, 14.1)
-    renew_from_peer(lease, newer, 2, 14.0)
+    renew_from_peer(lease, newer, StoreVersion(0, 2), 14.0)
     assert may_use_primary(lease, RECORD, 14.1)
 
 
@@ -107,17 +111,21 @@
     lease = PrimaryLease('p1')
     silent = {**PROXIES, 'p3': PROXIES['p3']._replace(silent=True)}
     record_store_read(lease, 10.0, silent)
-    record_peer_grant(lease, 'p2', 1, 14.0)
+    record_peer_grant(lease, 'p2', PeerGrant(1, 14.0))
     assert may_use_primary(lease, RECORD, 14.1)
     assert may_begin_promotion(lease, {'p2'}, 14.1)
     own_silent = {**PROXIES, 'p1': PROXIES['p1']._replace(silent=True)}
     record_store_read(lease, 14.2, own_silent)
     for name in ('p2', 'p3'):
-        record_peer_grant(lease, name, 1, 15.3)
+        record_peer_grant(lease, name, PeerGrant(1, 15.3))
     assert not may_use_primary(lease, RECORD, 15.4)
     assert not may_begin_promotion(lease, {'p2', 'p3'}, 15.4)
 
 
+def _next(version):
+    return version._replace(number=version.number + 1)
+
+
 class PromotionProtocol(RuleBasedStateMachine):
     """Three proxies and a store, with messages that are late or lost.
 
@@ -204,7 +212,7 @@
     def begin_promotion(self, name):
         self.tables[name].primary_lease.promoting_groups.add('g')
         self.record = self.record._replace(
-            changing=True, holder=name, version=self.record.version + 1
+            changing=True, holder=name, version=_next(self.record.version)
         )
         expires_at = leases_expired_at(self._clock(name), self.granted_at[name])
         self.promotion = (name, expires_at - self.offsets[name])
@@ -218,7 +226,7 @@
         self.record = self.record._replace(
             changing=False,
             primary=self.effective_primary,
-            version=self.record.version + 1,
+            version=_next(self.record.version),
         )
         self.promotion = None
         self.tables[name].primary_lease.promoting_groups.discard('g')
--- a/packages/toucandeal/src/toucandeal/tests/test_promotion.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_promotion.py
@@ -14,6 +14,7 @@
     promotion_delay_s,
     promotion_trigger,
 )
+from toucandeal.store_versions import StoreVersion
 from toucandeal.tests.sample_tables import NOW, new_tables
 
 
@@ -76,7 +77,10 @@
 def test_nothing_begins_without_replicas_or_during_a_promotion():
     tables = new_tables()
     _unreachable(tables)
-    apply_record(tables, GroupRecord('g', 'a', 3, changing=True, version=2))
+    apply_record(
+        tables,
+        GroupRecord('g', 'a', 3, changing=True, version=StoreVersion(0, 2)),
+    )
     assert promotion_trigger(tables, 'g', NOW) is None
     alone = new_tables()
     _unreachable(alone)
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -36,6 +36,7 @@
 from toucandeald.shared_state import SharedState, SharedTables
 from toucandeald.silent_proxies import SilentProxies
 from toucandeald.steady_clock import steady_seconds
+from toucandeald.store_recovery import StoreRecovery
 from toucandeald.web import listen
 from toucandeald.work_stopper import WorkStopper
 
@@ -77,6 +78,7 @@
     borrowing: Borrowing
     lending: Lending
     ports: FleetPorts
+    recovery: StoreRecovery
 
 
 @contextlib.contextmanager
@@ -150,6 +152,14 @@
             borrowing,
             lending,
             ports,
+            StoreRecovery(
+                tables,
+                state,
+                ports.store,
+                gossip,
+                own,
+                first_start=settings.first_start,
+            ),
         )
     finally:
         sockets.close()
@@ -213,7 +223,8 @@
 
 def _tick(parts: FleetParts) -> None:
     now = steady_seconds()
-    parts.state.tick(now)
+    parts.state.server_list.tick(now)
+    parts.recovery.tick(now)
     parts.gossip.contact_new_peers()
     parts.watch.tick(now)
     parts.promoter.tick(now)
@@ -241,6 +252,7 @@
     metrics.gauge('connections_opened', parts.pools.opened)
     metrics.gauge('connections_lent', parts.lending.count)
     metrics.gauge('store_calls', parts.ports.store.calls)
+    metrics.gauge('store_era', parts.state.era)
     counted = counted_proxies(parts.tables.primary_lease)
     metrics.gauge('proxies_counted', len(counted))
     configuration = parts.tables.configuration
--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -6,7 +6,10 @@
 
 
 class FleetSettings(NamedTuple):
-    """Name, listen addresses and stop timeout of a proxy."""
+    """Name, listen addresses and stop timeout of a proxy.
+
+    `first_start` is set only while the whole system starts for the first time.
+    """
 
     name: str
     failure_domain: str
@@ -15,3 +18,4 @@
     listen_peers: str
     listen_metrics: str
     stop_timeout_s: float
+    first_start: bool = False
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from toucandeal.store_versions import StoreVersion
 from toucandeald.lending_wire import (
     BorrowedAnswer,
     BorrowedRequest,
@@ -32,7 +33,8 @@
     `confirms_none_begun` its confirmation that it has begun no promotion. Both
     are only for a recipient with `counts_recipient` set, which the sender
     counts among the proxies.
-    `demands` is how many connections the sender could use, by server.
+    `demands` is how many connections the sender could use, by server, and
+    `store_era` the newest era of the store that the sender knows of.
     """
 
     sender: str
@@ -46,12 +48,13 @@
     lease_age: float
     counts_recipient: bool
     confirms_none_begun: bool
-    records_version: int
+    records_version: StoreVersion
     configuration_version: int
-    servers_version: int
+    servers_version: StoreVersion
     primary_heard_ages: dict[str, float]
     demands: dict[str, float]
     failure_domain: str
+    store_era: int = 0
 
 
 class RowCopy(msgspec.Struct, array_like=True):
@@ -59,7 +62,7 @@
 
     key: str
     content: bytes
-    version: int
+    version: StoreVersion
 
 
 class RecordsCopy(msgspec.Struct, tag='r', array_like=True):
@@ -80,7 +83,7 @@
     """The list of servers at a version of the store."""
 
     sender: str
-    version: int
+    version: StoreVersion
     rows: list[RowCopy]
 
 
@@ -100,7 +103,7 @@
 
     sender: str
     group: str
-    version: int
+    version: StoreVersion
 
 
 FleetMessage = (
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -146,7 +146,7 @@
             case ConfigurationCopy():
                 self._state.apply_configuration(message.content)
             case ServersCopy():
-                self._state.apply_server_snapshot(
+                self._state.server_list.apply_snapshot(
                     _rows(message.rows), message.version
                 )
             case PromotionBegun():
@@ -207,10 +207,11 @@
                 configuration_version=(
                     0 if configuration is None else configuration.version
                 ),
-                servers_version=self._state.servers_version,
+                servers_version=self._state.server_list.version,
                 primary_heard_ages=self._primary_heard_ages(now),
                 demands=demands,
                 failure_domain=self._tables.failure_domain,
+                store_era=self._state.era,
             ),
         )
 
@@ -248,7 +249,9 @@
             },
             heartbeat.demands,
             heartbeat.failure_domain,
+            heartbeat.store_era,
         )
+        self._state.note_era(heartbeat.store_era)
         if heartbeat.echo_incarnation == self._own.incarnation:
             self._renew_lease(heartbeat, heartbeat.echo + heartbeat.echo_age)
         self._update_peer(heartbeat)
@@ -262,6 +265,7 @@
                 heartbeat.records_version,
                 heartbeat.lease_age,
                 heartbeat.confirms_none_begun,
+                heartbeat.store_era,
             )
             renew_from_peer(
                 self._tables.primary_lease,
@@ -297,12 +301,16 @@
         if self._copy_is_due(
             heartbeat,
             SERVERS_SCHEDULE,
-            heartbeat.servers_version < state.servers_version,
+            heartbeat.servers_version < state.server_list.version,
         ):
-            rows = [row for row in state.servers.values() if not row.removed]
+            rows = [
+                row
+                for row in state.server_list.rows.values()
+                if not row.removed
+            ]
             self.send(
                 heartbeat.address,
-                ServersCopy(name, state.servers_version, _copies(rows)),
+                ServersCopy(name, state.server_list.version, _copies(rows)),
             )
 
     def _copy_is_due(
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -20,6 +20,11 @@
     promotion_delay_s,
     promotion_trigger,
 )
+from toucandeal.store_versions import (
+    NO_VERSION,
+    StoreVersion,
+    fencing_token,
+)
 from toucandeald.background_tasks import run_in_background
 from toucandeald.fleet_wire import PromotionBegun, RowCopy, WorkStopped
 from toucandeald.gossip import Gossip
@@ -88,12 +93,16 @@
         self._reports = reports
         self._running = False
         self._triggered_since: dict[str, float] = {}
-        self._stopped_versions: dict[str, dict[str, int]] = {}
+        self._stopped_versions: dict[str, dict[str, StoreVersion]] = {}
         self._resumed: dict[str, bool] = {}
+        self._order_possible: dict[str, bool] = {}
 
     def tick(self, now: float) -> None:
         """Start the first promotion that is due, if none is running."""
-        if self._running or not self._state.store_reachable:
+        state = self._state
+        if self._running or not (
+            state.store_reachable and state.records_confirmed
+        ):
             return
         for name in self._group_names():
             trigger = self._trigger(name, now)
@@ -110,7 +119,7 @@
         """Record that a peer confirms it stopped work with the primary."""
         versions = self._stopped_versions.setdefault(message.group, {})
         versions[message.sender] = max(
-            message.version, versions.get(message.sender, 0)
+            message.version, versions.get(message.sender, NO_VERSION)
         )
 
     def _group_names(self) -> list[str]:
@@ -127,6 +136,8 @@
             ):
                 return Trigger('no primary is recorded', planned=False)
             return None
+        if record.changing and not record.holder:
+            return Trigger('the store was restored from a copy', planned=False)
         if record.changing and record.holder == self._tables.name:
             return Trigger('a promotion was left unfinished', record.planned)
         if record.changing:
@@ -196,7 +207,7 @@
             )
         record = GroupRecord(name, claims[0].name)
         await self._store.transact(
-            [Precondition(RECORDS_TABLE, group_key(name), 0)],
+            [Precondition(RECORDS_TABLE, group_key(name), NO_VERSION)],
             [Put(RECORDS_TABLE, group_key(name), encode_group(record))],
         )
         await self._state.read_records()
@@ -206,7 +217,7 @@
         counted_by = {
             peer.name
             for peer in self._tables.peers.values()
-            if peer.counts_this_proxy
+            if peer.counts_this_proxy and peer.store_era == primary_lease.era
         }
         now = steady_seconds()
         if not may_begin_promotion(primary_lease, counted_by, now):
@@ -228,6 +239,7 @@
         if record is None or self._trigger(name, steady_seconds()) is None:
             raise PromotionAbandoned('the group no longer needs a promotion')
         self._resumed[name] = record.changing
+        self._order_possible[name] = bool(record.holder)
         return await self._locks.acquire(
             record._replace(
                 changing=True,
@@ -272,7 +284,7 @@
         }
         own = self._tables.name
         if (
-            self._work_stopper.stopped_versions.get(record.group, 0)
+            self._work_stopper.stopped_versions.get(record.group, NO_VERSION)
             >= record.version
         ):
             stopped.add(own)
@@ -285,7 +297,10 @@
         leader = await self._choice.current_leader(
             record, resumed=self._resumed.get(name, False)
         )
-        if leader is not None and leader[0] != record.primary:
+        # An order of the promotion that is resumed may still arrive, so its
+        # old primary is not trusted to stay one.
+        may_stay = not self._order_possible.get(name, True)
+        if leader is not None and (may_stay or leader[0] != record.primary):
             log_event('promotion', group=name, step='found', server=leader[0])
             await self._complete_promotion(held_lock, leader[0], leader[1])
             return
@@ -305,6 +320,7 @@
         """Send the promotion order until it is accepted."""
         record = held_lock.record
         while True:
+            self._locks.check_era(held_lock.token.era)
             if steady_seconds() > held_lock.held_until - ORDER_MARGIN_S:
                 held_lock = await self._locks.renew(held_lock)
             try:
@@ -312,7 +328,7 @@
                     record.group,
                     chosen.name,
                     self._tables.name,
-                    held_lock.token,
+                    fencing_token(held_lock.token),
                     ORDER_TIMEOUT_S,
                 )
             except StoreUnavailable as error:
--- a/packages/toucandeald/src/toucandeald/promotion_lock.py
+++ b/packages/toucandeald/src/toucandeald/promotion_lock.py
@@ -12,8 +12,10 @@
 from toucandeal.fleet import GroupRecord
 from toucandeal.fleet_tables import FleetTables, group_state
 from toucandeal.promotion import LOCK_DURATION_S
+from toucandeal.store_versions import StoreVersion
 from toucandeald.logs import log_event
 from toucandeald.shared_records import (
+    ERA_KEY,
     PROMOTION_LOCK_KEY,
     RECORDS_TABLE,
     encode_group,
@@ -40,7 +42,7 @@
 class HeldLock(NamedTuple):
     """The promotion lock, held by this proxy at least until `held_until`."""
 
-    token: int
+    token: StoreVersion
     held_until: float
     record: GroupRecord
 
@@ -83,7 +85,10 @@
         )
 
     async def _acquire_lock(
-        self, record: GroupRecord, version: int, lock_version: int
+        self,
+        record: GroupRecord,
+        version: StoreVersion,
+        lock_version: StoreVersion,
     ) -> HeldLock:
         """Write the record and the lock's row in one transaction.
 
@@ -91,10 +96,14 @@
         under the same preconditions until its outcome is certain.
         """
         nonce = secrets.token_hex(8)
+        begun_era = self._state.era
         own = self._tables.primary_lease.registered.get(self._tables.name)
         if own is None or own.silent:
             raise PromotionAbandoned('this proxy is not registered')
+        self.check_era(record.version.era)
         preconditions = [
+            # Fails if the store was restored and its records confirmed anew.
+            Precondition(RECORDS_TABLE, ERA_KEY, self._state.era_row_version),
             # Fails if a peer has marked this proxy as silent in the meantime.
             Precondition(RECORDS_TABLE, proxy_key(own.name), own.version),
             Precondition(RECORDS_TABLE, PROMOTION_LOCK_KEY, lock_version),
@@ -114,6 +123,7 @@
             record.group, preconditions, puts, abandon_if_unwritten=True
         )
         await self.read()
+        self.check_era(begun_era)
         if self._state.promotion_lock.nonce != nonce:
             raise PromotionAbandoned(
                 'another proxy acquired the promotion lock first'
@@ -159,6 +169,11 @@
                 )
             await pause(self._clock, RETRY_DELAY_S)
 
+    def check_era(self, era: int) -> None:
+        """Abandon a promotion if the store has lost what it wrote."""
+        if era != self._state.era or not self._state.records_confirmed:
+            raise PromotionAbandoned('the store was restored from a copy')
+
     async def read(self) -> None:
         """Read the records; abandon the promotion if the read fails."""
         if not await self._state.read_records():
@@ -182,7 +197,12 @@
         new_record = GroupRecord(record.group, primary, term)
         await self._write_until_certain(
             record.group,
-            [Precondition(RECORDS_TABLE, key, record.version)],
+            [
+                Precondition(
+                    RECORDS_TABLE, ERA_KEY, self._state.era_row_version
+                ),
+                Precondition(RECORDS_TABLE, key, record.version),
+            ],
             [
                 Put(RECORDS_TABLE, key, encode_group(new_record)),
                 Put(
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/server_list.py
@@ -0,0 +1,130 @@
+"""The list of servers, as the store and the peers report it."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from toucandeal.fleet import Server
+from toucandeal.fleet_tables import FleetTables, server_load
+from toucandeal.store_versions import NO_VERSION, StoreVersion
+from toucandeald.logs import log_event
+from toucandeald.shared_store import SharedRow
+from toucandeald.steady_clock import steady_seconds
+
+__all__ = ['REMOVAL_DELAY_S', 'ServerList']
+
+REMOVAL_DELAY_S = 2.5  # entries that lapsed in a store outage are back by then
+# An outdated entry of a restored store is replaced or removed within this
+# time: servers report again, and the store drops those that do not.
+OUTDATED_ENTRY_S = 5.0
+
+
+class _HeldEntry(NamedTuple):
+    row: SharedRow
+    until: float
+
+
+class ServerList:
+    """The servers' entries, applied to the proxy's tables.
+
+    `version` is the version of the newest entry or snapshot.
+    """
+
+    def __init__(
+        self, tables: FleetTables, decode: Callable[[SharedRow], Server]
+    ) -> None:
+        """Initialize without entries."""
+        self.rows: dict[str, SharedRow] = {}
+        self.version: StoreVersion = NO_VERSION
+        self._tables = tables
+        self._decode = decode
+        self._removed_at: dict[str, float] = {}
+        self._held: dict[str, _HeldEntry] = {}
+
+    def tick(self, now: float) -> None:
+        """Drop servers whose entries were removed `REMOVAL_DELAY_S` ago.
+
+        Also apply the entries that were held back as outdated and have not
+        been replaced.
+        """
+        for name, removed_at in list(self._removed_at.items()):
+            if now - removed_at >= REMOVAL_DELAY_S:
+                self._removed_at.pop(name)
+                self._tables.servers.pop(name, None)
+                log_event('server gone', server=name)
+        for held in list(self._held.values()):
+            if now >= held.until:
+                self._apply(held.row)
+
+    def apply_changes(self, rows: list[SharedRow]) -> None:
+        """Apply newer entries of the list of servers."""
+        for row in rows:
+            known = self.rows.get(row.key)
+            if known is not None and row.version <= known.version:
+                continue
+            if known is not None and _is_outdated_copy(row, known):
+                self._hold(row)
+            else:
+                self._apply(row)
+
+    def apply_snapshot(
+        self, rows: list[SharedRow], version: StoreVersion
+    ) -> None:
+        """Apply the whole list of servers if it is newer than the known one."""
+        if version <= self.version:
+            return
+        self.apply_changes(rows)
+        present = {row.key for row in rows}
+        for key in set(self._held) - present:
+            self._held.pop(key)
+        for key, known in list(self.rows.items()):
+            if key not in present and not known.removed:
+                self._apply(SharedRow(key, b'', version, removed=True))
+        self.version = version
+
+    def _hold(self, row: SharedRow) -> None:
+        held = self._held.get(row.key)
+        if held is not None and held.row.version >= row.version:
+            return
+        self._held[row.key] = _HeldEntry(
+            row, steady_seconds() + OUTDATED_ENTRY_S
+        )
+        log_event('restored entry held back', server=row.key)
+
+    def _apply(self, row: SharedRow) -> None:
+        self._held.pop(row.key, None)
+        self.rows[row.key] = row
+        self.version = max(self.version, row.version)
+        if row.removed:
+            if row.key in self._tables.servers:
+                self._removed_at.setdefault(row.key, steady_seconds())
+                log_event('server entry removed', server=row.key)
+            return
+        self._removed_at.pop(row.key, None)
+        try:
+            server = self._decode(row)
+        except ValueError as error:
+            self._tables.servers.pop(row.key, None)
+            log_event('entry unreadable', server=row.key, reason=str(error))
+            return
+        known = self._tables.servers.get(server.name)
+        self._tables.servers[server.name] = server
+        if known is not None and known.born_ms != server.born_ms:
+            # A restarted server holds no earlier data: discard observations.
+            self._tables.loads.pop(server.name, None)
+        server_load(self._tables, server.name)
+        if server != known:
+            log_event('server', **server._asdict())
+
+
+def _is_outdated_copy(row: SharedRow, known: SharedRow) -> bool:
+    """Return whether a restored store lists an entry of before `known`.
+
+    Numbers are given out again after a restoration, so a number that is not
+    higher proves nothing about an entry with other content.
+    """
+    return (
+        not row.removed
+        and row.version.era > known.version.era
+        and row.version.number <= known.version.number
+        and (known.removed or row.content != known.content)
+    )
--- a/packages/toucandeald/src/toucandeald/shared_records.py
+++ b/packages/toucandeald/src/toucandeald/shared_records.py
@@ -1,7 +1,8 @@
 """The records that all proxies share in the platform's store.
 
-One table holds a row for each group's primary, a row for each proxy, and a
-row for the promotion lock.
+One table holds a row for each group's primary, a row for each proxy, a row for
+the promotion lock, and a row with the era of the store for which a proxy has
+confirmed the others.
 """
 
 from typing import NamedTuple
@@ -9,14 +10,17 @@
 import msgspec
 
 from toucandeal.fleet import GroupRecord, ProxyRecord
+from toucandeal.store_versions import NO_VERSION, StoreVersion
 from toucandeald.shared_store import SharedRow
 
 __all__ = [
+    'ERA_KEY',
     'PROMOTION_LOCK_KEY',
     'PromotionLock',
     'RECORDS_TABLE',
     'Records',
     'decode_records',
+    'encode_era',
     'encode_group',
     'encode_promotion_lock',
     'encode_proxy',
@@ -26,16 +30,22 @@
 
 RECORDS_TABLE = 'toucandeal'
 PROMOTION_LOCK_KEY = 'duty'
+ERA_KEY = 'era'
 _GROUP_PREFIX = 'group/'
 _PROXY_PREFIX = 'proxy/'
 
 
-class PromotionLock(msgspec.Struct, frozen=True):
+class PromotionLock(NamedTuple):
     """The row of the promotion lock; `holder` is empty while it is free."""
 
     holder: str = ''
     nonce: str = ''
-    version: int = 0
+    version: StoreVersion = NO_VERSION
+
+
+class _Lock(msgspec.Struct):
+    holder: str = ''
+    nonce: str = ''
 
 
 class _Group(msgspec.Struct):
@@ -52,13 +62,21 @@
     silent: bool = False
 
 
+class _Era(msgspec.Struct):
+    era: int
+
+
 class Records(NamedTuple):
-    """Decoded rows, and the keys of rows that can't be decoded."""
+    """Decoded rows, and the keys of rows that can't be decoded.
+
+    `confirmed_era` is the era of the store in which the records are valid.
+    """
 
     groups: list[GroupRecord]
     proxies: dict[str, ProxyRecord]
     promotion_lock: PromotionLock
     unreadable: list[str]
+    confirmed_era: int = 0
 
 
 def group_key(group: str) -> str:
@@ -102,19 +120,23 @@
     return msgspec.json.encode({'holder': holder, 'nonce': nonce})
 
 
+def encode_era(era: int) -> bytes:
+    """Encode the row of the era for which the records are confirmed."""
+    return msgspec.json.encode(_Era(era))
+
+
 def decode_records(rows: list[SharedRow]) -> Records:
     """Decode the table's rows; list those that can't be as unreadable."""
     decoded = Records([], {}, PromotionLock(), [])
-    promotion_lock = decoded.promotion_lock
     for row in rows:
         try:
-            promotion_lock = _decode_into(decoded, row) or promotion_lock
+            decoded = _decode_into(decoded, row)
         except msgspec.MsgspecError:
             decoded.unreadable.append(row.key)
-    return decoded._replace(promotion_lock=promotion_lock)
+    return decoded
 
 
-def _decode_into(decoded: Records, row: SharedRow) -> PromotionLock | None:
+def _decode_into(decoded: Records, row: SharedRow) -> Records:
     if row.key.startswith(_GROUP_PREFIX):
         group = msgspec.json.decode(row.content, type=_Group)
         decoded.groups.append(
@@ -135,8 +157,11 @@
             name, proxy.incarnation, proxy.address, proxy.silent, row.version
         )
     elif row.key == PROMOTION_LOCK_KEY:
-        return msgspec.structs.replace(
-            msgspec.json.decode(row.content, type=PromotionLock),
-            version=row.version,
+        lock = msgspec.json.decode(row.content, type=_Lock)
+        return decoded._replace(
+            promotion_lock=PromotionLock(lock.holder, lock.nonce, row.version)
         )
-    return None
+    elif row.key == ERA_KEY:
+        era = msgspec.json.decode(row.content, type=_Era)
+        return decoded._replace(confirmed_era=era.era)
+    return decoded
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -21,14 +21,21 @@
     FleetTables,
     apply_configuration,
     apply_record,
-    server_load,
 )
-from toucandeal.primary_lease import lease_expires_at, record_store_read
-from toucandeald.background_tasks import run_in_background
+from toucandeal.primary_lease import (
+    begin_era,
+    lease_expires_at,
+    record_store_read,
+)
+from toucandeal.store_versions import NO_VERSION, StoreVersion
+from toucandeald.background_tasks import keep_running
 from toucandeald.logs import log_event
+from toucandeald.server_list import REMOVAL_DELAY_S, ServerList
 from toucandeald.shared_records import (
+    ERA_KEY,
     RECORDS_TABLE,
     PromotionLock,
+    Records,
     decode_records,
     encode_proxy,
     proxy_key,
@@ -53,7 +60,9 @@
 RELAYED_LEASE_AGE_S = 0.6  # an older lease is renewed by an own read
 RANK_DELAY_S = 0.05  # added per rank, so that proxies do not all read at once
 OWN_READ_INTERVAL_S = 3.0  # peers do not relay the registered proxies
-REMOVAL_DELAY_S = 2.5  # entries that lapsed in a store outage are back by then
+# Between two proxies that read a table again after the store dropped the
+# changes that all of them wait for.
+REREAD_SPACING_S = 0.002
 CHECK_INTERVAL_S = 0.05
 
 
@@ -97,8 +106,10 @@
         self.lock_seen_at = steady_seconds()
         self.record_seen_at: dict[str, float] = {}
         self.records: dict[str, SharedRow] = {}
-        self.servers: dict[str, SharedRow] = {}
-        self.servers_version = -1
+        self.server_list = ServerList(tables, shared.decode_server)
+        self.unconfirmed: Records | None = None
+        self.era = 0
+        self.confirmed_era = 0
         self.configuration_content = b''
         self.store_reachable = False
         self._clock = clock
@@ -107,9 +118,9 @@
         self._shared = shared
         self._own = own
         self.server_list_complete_at = math.inf
-        self._removed_at: dict[str, float] = {}
         self._read_at = -OWN_READ_INTERVAL_S
-        self._unreadable: dict[str, int] = {}
+        # Of all rows at the last read, whether their records are valid or not.
+        self._row_versions: dict[str, StoreVersion] = {}
         self._stopped = False
 
     @property
@@ -118,7 +129,18 @@
         return self._tables.primary_lease.registered_as_of > -math.inf
 
     @property
-    def records_version(self) -> int:
+    def records_confirmed(self) -> bool:
+        """Return whether the records are valid in the store's present era."""
+        return self.confirmed_era == self.era
+
+    @property
+    def era_row_version(self) -> StoreVersion:
+        """Return the version of the row that confirms the records."""
+        row = self.records.get(ERA_KEY)
+        return NO_VERSION if row is None else row.version
+
+    @property
+    def records_version(self) -> StoreVersion:
         """Return the highest version of a group's record."""
         return max(
             (
@@ -126,9 +148,13 @@
                 for group in self._tables.groups.values()
                 if group.record is not None
             ),
-            default=0,
+            default=NO_VERSION,
         )
 
+    def row_version(self, key: str) -> StoreVersion:
+        """Return the version of a record's row at the last read."""
+        return self._row_versions.get(key, NO_VERSION)
+
     def reads_records_itself(self, now: float) -> bool:
         """Return whether this proxy reads the shared records itself."""
         return (
@@ -137,20 +163,9 @@
 
     def start(self) -> None:
         """Start the long polls and the periodic reads."""
-        for coroutine in (
-            self._follow(
-                self._shared.configuration_table,
-                self.apply_configuration_rows,
-                self.apply_configuration_rows,
-            ),
-            self._follow(
-                self._shared.server_table,
-                self.apply_server_changes,
-                self._apply_server_snapshot,
-            ),
-            self._read_periodically(),
-        ):
-            run_in_background(coroutine)
+        keep_running(self._clock, self._follow_configuration)
+        keep_running(self._clock, self._follow_servers)
+        keep_running(self._clock, self._read_periodically)
 
     async def deregister(self) -> None:
         """Stop reading the store and remove this proxy's record."""
@@ -162,13 +177,21 @@
         except StoreUnavailable as error:
             log_event('deregistration failed', reason=str(error))
 
-    def tick(self, now: float) -> None:
-        """Drop servers whose entries were removed `REMOVAL_DELAY_S` ago."""
-        for name, removed_at in list(self._removed_at.items()):
-            if now - removed_at >= REMOVAL_DELAY_S:
-                self._removed_at.pop(name)
-                self._tables.servers.pop(name, None)
-                log_event('server gone', server=name)
+    def note_era(self, era: int) -> bool:
+        """Note the store's era in an answer or in a peer's heartbeat.
+
+        Returns
+        -------
+        bool
+            Whether it is the present era. An answer of an earlier era is
+            evidence of nothing.
+        """
+        if era <= self.era:
+            return era == self.era
+        log_event('store era', era=era, before=self.era)
+        self.era = era
+        begin_era(self._tables.primary_lease, era, steady_seconds())
+        return True
 
     async def read_records(self) -> bool:
         """Read the shared records and return whether the store answered."""
@@ -183,12 +206,17 @@
             self.store_reachable = True
             self.server_list_complete_at = steady_seconds() + REMOVAL_DELAY_S
             log_event('store regained')
+        if not self.note_era(snapshot.version.era):
+            log_event('outdated answer', era=snapshot.version.era)
+            return False
         self._apply_records(snapshot, sent_at)
         return True
 
     def apply_record_rows(self, rows: list[SharedRow]) -> None:
         """Apply newer records, from the store or from a peer."""
-        decoded = decode_records(rows)
+        self._apply_decoded(rows, decode_records(rows))
+
+    def _apply_decoded(self, rows: list[SharedRow], decoded: Records) -> None:
         now = steady_seconds()
         expires_at = lease_expires_at(self._tables.primary_lease, now)
         for key in decoded.unreadable:
@@ -197,6 +225,7 @@
             known = self.records.get(row.key)
             if known is None or row.version > known.version:
                 self.records[row.key] = row
+        self.confirmed_era = max(self.confirmed_era, decoded.confirmed_era)
         if decoded.promotion_lock.version > self.promotion_lock.version:
             self.promotion_lock = decoded.promotion_lock
             self.lock_seen_at = now
@@ -228,30 +257,6 @@
                 groups=len(configuration.groups),
             )
 
-    def apply_server_changes(self, rows: list[SharedRow]) -> None:
-        """Apply newer entries of the list of servers."""
-        for row in rows:
-            known = self.servers.get(row.key)
-            if known is None or row.version > known.version:
-                self._apply_server(row)
-
-    def apply_server_snapshot(
-        self, rows: list[SharedRow], version: int
-    ) -> None:
-        """Apply the whole list of servers if it is newer than the known one."""
-        if version <= self.servers_version:
-            return
-        self.apply_server_changes(rows)
-        present = {row.key for row in rows}
-        for key, known in list(self.servers.items()):
-            if key not in present and not known.removed:
-                self._apply_server(SharedRow(key, b'', version, removed=True))
-        self.servers_version = version
-
-    def _apply_server_snapshot(self, rows: list[SharedRow]) -> None:
-        newest = max((row.version for row in rows), default=0)
-        self.apply_server_snapshot(rows, newest)
-
     def server_list_is_complete(self, now: float) -> bool:
         """Return whether a server without an entry is certain to be gone.
 
@@ -260,74 +265,111 @@
         """
         return now >= self.server_list_complete_at
 
-    def _apply_server(self, row: SharedRow) -> None:
-        self.servers[row.key] = row
-        self.servers_version = max(self.servers_version, row.version)
-        if row.removed:
-            if row.key in self._tables.servers:
-                self._removed_at.setdefault(row.key, steady_seconds())
-                log_event('server entry removed', server=row.key)
-            return
-        self._removed_at.pop(row.key, None)
-        try:
-            server = self._shared.decode_server(row)
-        except ValueError as error:
-            self._tables.servers.pop(row.key, None)
-            log_event('entry unreadable', server=row.key, reason=str(error))
-            return
-        known = self._tables.servers.get(server.name)
-        self._tables.servers[server.name] = server
-        if known is not None and known.born_ms != server.born_ms:
-            # A restarted server holds no earlier data: discard observations.
-            self._tables.loads.pop(server.name, None)
-        server_load(self._tables, server.name)
-        if server != known:
-            log_event('server', **server._asdict())
-
     def _apply_records(self, snapshot: Snapshot, sent_at: float) -> None:
+        """Apply a read of the records.
+
+        Restored records that no proxy has confirmed are not applied: what this
+        proxy remembers is newer than they are.
+        """
         decoded = decode_records(snapshot.rows)
-        for key in set(self.records) - {row.key for row in snapshot.rows}:
-            self.records.pop(key)
-        self.apply_record_rows(snapshot.rows)
-        record_store_read(self._tables.primary_lease, sent_at, decoded.proxies)
+        self._row_versions = {row.key: row.version for row in snapshot.rows}
+        confirmed = decoded.confirmed_era == snapshot.version.era
+        if confirmed:
+            for key in set(self.records) - set(self._row_versions):
+                self.records.pop(key)
+            self._apply_decoded(snapshot.rows, decoded)
+        self.unconfirmed = None if confirmed else decoded
+        record_store_read(
+            self._tables.primary_lease,
+            sent_at,
+            decoded.proxies,
+            confirmed=confirmed,
+        )
 
     def _store_lost(self, reason: str) -> None:
         if self.store_reachable:
             log_event('store lost', reason=reason)
         self.store_reachable = False
 
+    async def _follow_configuration(self) -> None:
+        await self._follow(
+            self._shared.configuration_table,
+            self.apply_configuration_rows,
+            lambda rows, _: self.apply_configuration_rows(rows),
+        )
+
+    async def _follow_servers(self) -> None:
+        await self._follow(
+            self._shared.server_table,
+            self.server_list.apply_changes,
+            self.server_list.apply_snapshot,
+        )
+
     async def _follow(
         self,
         table: str,
         apply: Callable[[list[SharedRow]], None],
-        reset: Callable[[list[SharedRow]], None],
+        reset: Callable[[list[SharedRow], StoreVersion], None],
     ) -> None:
-        version = None
+        version: StoreVersion | None = None
         retry_delay_s = RETRY_DELAY_S
         while not self._stopped:
             try:
                 if version is None:
-                    snapshot = await self._store.read_all(table)
-                    reset(snapshot.rows)
-                    version = snapshot.version
-                uses_short_wait = self._rank() < SHORT_WAIT_PROXIES
-                changes = await self._store.changes(
-                    table,
-                    version,
-                    FEED_WAIT_S if uses_short_wait else RELAYED_FEED_WAIT_S,
-                )
+                    version = await self._read_again(table, reset)
+                version = await self._follow_once(table, version, apply)
             except StoreUnavailable as error:
                 log_event('feed lost', table=table, reason=str(error))
                 await pause(self._clock, retry_delay_s)
                 retry_delay_s = min(retry_delay_s * 2, MAX_RETRY_DELAY_S)
                 continue
             retry_delay_s = RETRY_DELAY_S
-            if isinstance(changes, HistoryGone):
-                log_event('feed restarted', table=table, after=version)
-                version = None
-            else:
-                apply(changes.rows)
-                version = changes.version
+            if version is None:
+                log_event('feed restarted', table=table)
+                await pause(self._clock, self._rank() * REREAD_SPACING_S)
+
+    async def _read_again(
+        self,
+        table: str,
+        reset: Callable[[list[SharedRow], StoreVersion], None],
+    ) -> StoreVersion:
+        """Read a whole table, and return the version to continue from."""
+        snapshot = await self._store.read_all(table)
+        if not self.note_era(snapshot.version.era):
+            raise StoreUnavailable(
+                f'The answer is of era {snapshot.version.era}, '
+                'before the store was restored',
+                'Read again; a new connection reaches the restored store',
+            )
+        reset(snapshot.rows, snapshot.version)
+        return snapshot.version
+
+    async def _follow_once(
+        self,
+        table: str,
+        version: StoreVersion,
+        apply: Callable[[list[SharedRow]], None],
+    ) -> StoreVersion | None:
+        """Apply the next changes, and return the version to continue from.
+
+        It is None if the store no longer has the changes. A store restored
+        from a copy may have given out `version` again, so its changes after it
+        are not complete.
+        """
+        uses_short_wait = self._rank() < SHORT_WAIT_PROXIES
+        changes = await self._store.changes(
+            table,
+            version,
+            FEED_WAIT_S if uses_short_wait else RELAYED_FEED_WAIT_S,
+        )
+        if isinstance(changes, HistoryGone):
+            self.note_era(changes.era)
+            return None
+        self.note_era(changes.version.era)
+        if changes.version.era != version.era:
+            return None
+        apply(changes.rows)
+        return changes.version
 
     async def _read_periodically(self) -> None:
         while not self._stopped:
@@ -338,6 +380,7 @@
                 registered is None
                 or registered.silent
                 or registered.incarnation != self._own.incarnation
+                or registered.version == NO_VERSION
             ):
                 await self._register()
                 await self.read_records()
@@ -368,6 +411,11 @@
     def _read_is_due(self, now: float) -> bool:
         primary_lease = self._tables.primary_lease
         elapsed_s = now - self._read_at
+        if not self.records_confirmed:
+            return elapsed_s >= min(
+                READ_INTERVAL_S + self._rank() * RANK_DELAY_S,
+                OWN_READ_INTERVAL_S,
+            )
         unregistered = set(self._tables.peers) - set(primary_lease.registered)
         if elapsed_s >= OWN_READ_INTERVAL_S or (
             unregistered and elapsed_s >= READ_INTERVAL_S
--- a/packages/toucandeald/src/toucandeald/shared_store.py
+++ b/packages/toucandeald/src/toucandeald/shared_store.py
@@ -3,6 +3,8 @@
 import enum
 from typing import NamedTuple
 
+from toucandeal.store_versions import StoreVersion
+
 __all__ = [
     'Changes',
     'Committed',
@@ -21,7 +23,7 @@
 
     key: str
     content: bytes
-    version: int
+    version: StoreVersion
     removed: bool = False
 
 
@@ -29,26 +31,28 @@
     """All rows of a table at one version of the store."""
 
     rows: list[SharedRow]
-    version: int
+    version: StoreVersion
 
 
 class Changes(NamedTuple):
     """Rows that changed, and the version to continue from."""
 
     rows: list[SharedRow]
-    version: int
+    version: StoreVersion
 
 
 class HistoryGone(NamedTuple):
-    """The store no longer keeps the requested changes."""
+    """The store, which is in era `era`, does not have the changes."""
+
+    era: int
 
 
 class Precondition(NamedTuple):
-    """A row and its required version; 0 requires that it does not exist."""
+    """A row and its version; `NO_VERSION` requires that it does not exist."""
 
     table: str
     key: str
-    version: int
+    version: StoreVersion
 
 
 class Put(NamedTuple):
@@ -62,7 +66,7 @@
 class Committed(NamedTuple):
     """The transaction took effect, at this version."""
 
-    version: int
+    version: StoreVersion
 
 
 class Conflict(NamedTuple):
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_list.py
@@ -0,0 +1,122 @@
+"""The list of servers, also of a store restored from an older copy."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from toucandeal.fleet import Server
+from toucandeal.fleet_tables import FleetTables
+from toucandeal.store_versions import StoreVersion
+from toucandeald.server_list import (
+    OUTDATED_ENTRY_S,
+    REMOVAL_DELAY_S,
+    ServerList,
+)
+from toucandeald.shared_store import SharedRow
+from toucandeald.steady_clock import virtual_time
+
+
+def _decode(row):
+    state = row.content.decode()
+    if state not in {'ready', 'leaving'}:
+        raise ValueError(state)
+    return Server(row.key, 'g', '', 'd', 2, state == 'leaving', False)
+
+
+def _row(key, era, number, content=b'ready', removed=False):
+    return SharedRow(key, content, StoreVersion(era, number), removed)
+
+
+@pytest.fixture
+def clock():
+    clock = Clock()
+    with virtual_time(clock.seconds):
+        yield clock
+
+
+@pytest.fixture
+def servers(clock):
+    servers = ServerList(FleetTables('p1', 'd'), _decode)
+    servers.apply_snapshot(
+        [_row('a', 1, 3), _row('b', 1, 4)], StoreVersion(1, 9)
+    )
+    return servers
+
+
+def _listed(servers):
+    return sorted(servers._tables.servers)
+
+
+def test_a_server_removed_in_a_gap_of_the_feed_is_gone(servers, clock):
+    servers.apply_snapshot([_row('a', 1, 3)], StoreVersion(1, 12))
+    servers.tick(clock.seconds() + REMOVAL_DELAY_S)
+    assert _listed(servers) == ['a']
+
+
+def test_an_older_snapshot_changes_nothing(servers, clock):
+    servers.apply_snapshot([], StoreVersion(1, 8))
+    servers.tick(clock.seconds() + REMOVAL_DELAY_S)
+    assert _listed(servers) == ['a', 'b']
+
+
+def test_a_restored_entry_of_a_removed_server_is_held_back(servers, clock):
+    servers.apply_changes([_row('b', 1, 12, b'', removed=True)])
+    servers.tick(clock.seconds() + REMOVAL_DELAY_S)
+    servers.apply_snapshot(
+        [_row('a', 2, 3), _row('b', 2, 4)], StoreVersion(2, 9)
+    )
+    assert _listed(servers) == ['a']
+    servers.tick(clock.seconds() + OUTDATED_ENTRY_S - 0.1)
+    assert _listed(servers) == ['a']
+
+
+def test_a_restored_entry_does_not_take_back_that_a_server_leaves(servers):
+    servers.apply_changes([_row('b', 1, 12, b'leaving')])
+    servers.apply_snapshot(
+        [_row('a', 2, 3), _row('b', 2, 4)], StoreVersion(2, 9)
+    )
+    assert servers._tables.servers['b'].leaving
+    # The server reports again, under a number that was given out before.
+    servers.apply_changes([_row('b', 2, 11, b'leaving')])
+    assert servers._tables.servers['b'].leaving
+
+
+def test_a_server_that_reports_again_is_used_at_once(servers, clock):
+    servers.apply_changes([_row('b', 1, 12, b'', removed=True)])
+    servers.tick(clock.seconds() + REMOVAL_DELAY_S)
+    servers.apply_snapshot(
+        [_row('a', 2, 3), _row('b', 2, 4)], StoreVersion(2, 9)
+    )
+    servers.apply_changes([_row('b', 2, 13)])
+    assert _listed(servers) == ['a', 'b']
+
+
+def test_a_held_entry_counts_once_the_store_would_have_dropped_it(
+    servers, clock
+):
+    servers.apply_changes([_row('b', 1, 12, b'', removed=True)])
+    servers.tick(clock.seconds() + REMOVAL_DELAY_S)
+    servers.apply_snapshot(
+        [_row('a', 2, 3), _row('b', 2, 4)], StoreVersion(2, 9)
+    )
+    servers.tick(clock.seconds() + OUTDATED_ENTRY_S)
+    assert _listed(servers) == ['a', 'b']
+
+
+def test_a_held_entry_that_the_store_drops_stays_gone(servers, clock):
+    servers.apply_changes([_row('b', 1, 12, b'', removed=True)])
+    servers.tick(clock.seconds() + REMOVAL_DELAY_S)
+    servers.apply_snapshot(
+        [_row('a', 2, 3), _row('b', 2, 4)], StoreVersion(2, 9)
+    )
+    servers.apply_changes([_row('b', 2, 10, b'', removed=True)])
+    servers.tick(clock.seconds() + OUTDATED_ENTRY_S)
+    assert _listed(servers) == ['a']
+
+
+def test_a_server_that_the_copy_lacks_is_kept_until_it_reports(servers, clock):
+    servers.apply_snapshot([_row('a', 2, 3)], StoreVersion(2, 3))
+    servers.tick(clock.seconds() + REMOVAL_DELAY_S - 0.1)
+    assert _listed(servers) == ['a', 'b']
+    servers.apply_changes([_row('b', 2, 4)])
+    servers.tick(clock.seconds() + 2 * REMOVAL_DELAY_S)
+    assert _listed(servers) == ['a', 'b']
--- a/packages/toucandeald/src/toucandeald/work_stopper.py
+++ b/packages/toucandeald/src/toucandeald/work_stopper.py
@@ -2,6 +2,7 @@
 
 from toucandeal.fleet import GroupRecord
 from toucandeal.fleet_tables import FleetTables, group_state
+from toucandeal.store_versions import NO_VERSION, StoreVersion
 from toucandeald.background_tasks import run_in_background
 from toucandeald.fleet_wire import PromotionBegun, WorkStopped
 from toucandeald.gossip import Gossip
@@ -33,7 +34,7 @@
         gossip: Gossip,
     ) -> None:
         """Initialize with the components whose work is stopped."""
-        self.stopped_versions: dict[str, int] = {}
+        self.stopped_versions: dict[str, StoreVersion] = {}
         self._clock = clock
         self._tables = tables
         self._pools = pools
@@ -69,7 +70,7 @@
     def confirm_stopped(self, message: PromotionBegun) -> None:
         """Confirm to the lock holder that this proxy has stopped, if it has."""
         group = message.record.key.removeprefix(group_key(''))
-        version = self.stopped_versions.get(group, 0)
+        version = self.stopped_versions.get(group, NO_VERSION)
         if version >= message.record.version:
             self._gossip.send(
                 message.address, WorkStopped(self._name, group, version)
