Start the store's feeds anew after an unexpected error

Cause: the loops that follow the configuration, the servers and the records ran as plain background work; an exception other than StoreUnavailable, e.g. while a row of an unknown kind was applied, was logged and ended the loop for good.

Change: keep_running logs the failure and starts the loop again after 0.5 s.

--- a/packages/toucandeald/src/toucandeald/background_tasks.py
+++ b/packages/toucandeald/src/toucandeald/background_tasks.py
@@ -1,13 +1,16 @@
 """Run coroutines in the background and log their failures."""
 
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 from toucandeald.logs import log_event
 
-__all__ = ['log_failure', 'run_in_background']
+__all__ = ['keep_running', 'log_failure', 'run_in_background']
+
+RESTART_DELAY_S = 0.5  # so that a lasting fault does not fill the log
 
 
 def log_failure(failure) -> None:
@@ -34,3 +37,31 @@
     running.addErrback(log_failure)
     if ended is not None:
         running.addCallback(lambda _: ended())
+
+
+def keep_running(
+    clock, start: Callable[[], Coroutine[Any, Any, None]]
+) -> defer.Deferred:
+    """Run a coroutine in the background, and start it anew if it fails.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+    start : callable
+        Returns a new coroutine. One that returns is not started again.
+
+    Returns
+    -------
+    Deferred
+        Fires when a coroutine has returned.
+    """
+
+    def restart(failure) -> defer.Deferred:
+        log_failure(failure)
+        return task.deferLater(
+            clock,
+            RESTART_DELAY_S,
+            functools.partial(keep_running, clock, start),
+        )
+
+    return defer.ensureDeferred(start()).addErrback(restart)
