Mend the faults that were seen while reading the code

Without a failing test, from reading: Promoter._wait_for_effect ignored its term, so a superseded server that still calls itself primary could count as promoted; now the term decides (doctest of leads_since). A report's received position was decoded twice; the second field is gone. Two constants for the balancer's notice are one. Time-outs of connections were logged as "connection refused"; the event is "connection not opened", with the reason.

After: the new tests pass; the library's and the daemon's tests pass.

--- a/packages/toucandeal/src/toucandeal/evidence.py
+++ b/packages/toucandeal/src/toucandeal/evidence.py
@@ -160,14 +160,15 @@
         The target.
     sent_at : float
         When the poll was sent. The answer to a poll sent before a pause of
-        this process proves nothing and is dropped.
+        this process proves nothing and is dropped, and so is one that a later
+        poll has overtaken.
     status : TargetStatus
     """
     tables = frame.tables
     if name not in tables.views:
         return
     view = tables.views[name]._replace(polling=False)
-    if sent_at < tables.trusted_since:
+    if sent_at < max(tables.trusted_since, view.sent_at):
         tables.views[name] = view
         return
     tables.views[name] = view._replace(
--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -20,6 +20,7 @@
     'ServerReport',
     'Trigger',
     'best_replica',
+    'leads_since',
     'promotion_delay_s',
     'promotion_trigger',
     'replicas_of',
@@ -41,7 +42,6 @@
     is_primary: bool
     term: int
     received: LogPosition
-    held: LogPosition
 
 
 class Trigger(NamedTuple):
@@ -131,13 +131,22 @@
     Examples
     --------
     >>> best_replica({
-    ...     'b': ServerReport(False, 3, LogPosition(3, 9), LogPosition(3, 2)),
-    ...     'c': ServerReport(False, 3, LogPosition(3, 7), LogPosition(3, 7)),
+    ...     'b': ServerReport(False, 3, LogPosition(3, 9)),
+    ...     'c': ServerReport(False, 3, LogPosition(3, 7)),
     ... })
     'b'
     """
-    return max(
-        reports,
-        key=lambda name: (reports[name].received, reports[name].held),
-        default=None,
-    )
+    return max(reports, key=lambda name: reports[name].received, default=None)
+
+
+def leads_since(report: ServerReport | None, term: int) -> bool:
+    """Return whether a server leads `term` or a later one.
+
+    A server that still calls itself primary of an earlier term is superseded.
+
+    Examples
+    --------
+    >>> leads_since(ServerReport(True, 3, LogPosition(3, 9)), 4)
+    False
+    """
+    return report is not None and report.is_primary and report.term >= term
--- a/packages/toucandeal/src/toucandeal/tests/test_failover.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_failover.py
@@ -5,6 +5,7 @@
 from toucandeal.actions import Decision, Fence, Promote
 from toucandeal.entities import GroupReport, Peer, TargetStatus
 from toucandeal.errors import BadCommand, ChangeRefused
+from toucandeal.evidence import status_received
 from toucandeal.failover import (
     fence_answered,
     promote_answered,
@@ -171,6 +172,17 @@
     assert 0 <= first['wait_s'] <= (rank + 1) * 0.08
 
 
+def test_an_answer_that_was_overtaken_changes_nothing(simulated_proxy):
+    simulated_proxy.now += 1
+    now = simulated_proxy.now
+    newer = TargetStatus(False, TERM, TERM, 9, 0)
+    older = TargetStatus(False, TERM, TERM, 4, 0)
+    simulated_proxy.apply_event(status_received, 'b', now, newer)
+    simulated_proxy.apply_event(status_received, 'b', now - 0.1, older)
+    view = simulated_proxy.tables.views['b']
+    assert (view.status.index, view.sent_at) == (9, now)
+
+
 def test_lower_terms_are_refused_and_the_takeover_is_abandoned(simulated_proxy):
     _run_without_primary(simulated_proxy, b=5, c=5)
     fence = simulated_proxy.pop_actions(Fence)[0]
--- a/packages/toucandeal/src/toucandeal/tests/test_promotion.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_promotion.py
@@ -102,8 +102,8 @@
 
 def test_the_received_position_takes_precedence_over_the_applied_one():
     reports = {
-        'b': ServerReport(False, 3, LogPosition(3, 9), LogPosition(3, 1)),
-        'c': ServerReport(False, 3, LogPosition(3, 8), LogPosition(3, 8)),
+        'b': ServerReport(False, 3, LogPosition(3, 9)),
+        'c': ServerReport(False, 3, LogPosition(3, 8)),
     }
     assert best_replica(reports) == 'b'
     assert best_replica({}) is None
--- a/packages/toucandeald/src/toucandeald/configuration_sync.py
+++ b/packages/toucandeald/src/toucandeald/configuration_sync.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from twisted.internet import defer, task
+from twisted.python.failure import Failure
 
 from toucandeal import engine
 from toucandeal.configuration import (
@@ -22,6 +23,7 @@
 from toucandeal.entities import Vm
 from toucandeal.errors import ChangeConflict, StoreUnavailable
 from toucandeal.membership import live_proxies
+from toucandeald.background_tasks import log_failure
 from toucandeald.logs import log_event
 from toucandeald.peer_wire import Rows, RowsRequest
 from toucandeald.platform_client import Condition, PlatformClient, Write
@@ -81,6 +83,8 @@
             self._record_store_state(failing=False)
         except StoreUnavailable as error:
             self._record_store_state(failing=True, error=str(error))
+        except Exception:  # noqa: BLE001 - no row may end the polls
+            log_failure(Failure())
         proxies = len(live_proxies(self._runtime.tables))
         self._reactor.callLater(poll_interval(proxies), self.poll_store)
 
@@ -91,6 +95,9 @@
             listed_vms = yield self._platform.vms()
         except StoreUnavailable:
             listed_vms = None
+        except Exception:  # noqa: BLE001 - no row may end the polls
+            log_failure(Failure())
+            listed_vms = None
         if listed_vms is not None:
             self._runtime.tables.vms = {
                 vm.name: Vm(**msgspec.structs.asdict(vm)) for vm in listed_vms
@@ -202,6 +209,7 @@
             The store did not respond in time.
         """
         version = None
+        problem = ''
         for _ in range(MAX_ATTEMPTS):
             try:
                 version = yield self._try_change(change, change_id)
@@ -213,6 +221,12 @@
             if version is not None:
                 break
         else:
+            if not problem:
+                raise ChangeConflict(
+                    'Other changes were accepted first, '
+                    f'{MAX_ATTEMPTS} times in a row; nothing was written',
+                    'Retry the command when fewer changes are made',
+                )
             raise StoreUnavailable(
                 f'{problem}; it is unknown whether the change was written',
                 f'Retry the command with change id {change_id!r}',
--- a/packages/toucandeald/src/toucandeald/connection_pool.py
+++ b/packages/toucandeald/src/toucandeald/connection_pool.py
@@ -282,7 +282,7 @@
         pause = FULL_RETRY_DELAY_S if is_full else RETRY_DELAY_S
         self._next_open_at = self._clock.seconds() + pause
         log_event(
-            'connection refused',
+            'connection not opened',
             server=self.server.name,
             kind=refusal.kind.value,
             reason=refusal.reason,
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -40,12 +40,19 @@
 from toucandeald.web import listen
 from toucandeald.work_stopper import WorkStopper
 
-__all__ = ['FleetPorts', 'running_fleet', 'start_fleet']
+__all__ = [
+    'FleetPorts',
+    'apply_reloaded_settings',
+    'running_fleet',
+    'start_fleet',
+]
 
 TICK_S = 0.05
 MAINTENANCE_INTERVAL_S = 0.25  # of pools, and of checks for idle transactions
 REPORT_WAIT_S = 0.3
 INCARNATIONS = 2_147_483_648
+# `first_start` only matters at the start, so its change needs no restart.
+RELOADED_SETTINGS = frozenset(('stop_timeout_s', 'first_start'))
 
 
 class FleetPorts(NamedTuple):
@@ -210,6 +217,30 @@
     log_event('started', **settings._asdict())
 
 
+def apply_reloaded_settings(
+    parts: FleetParts, running: FleetSettings, update: FleetSettings
+) -> None:
+    """Apply the settings that can change without a restart.
+
+    Parameters
+    ----------
+    parts : FleetParts
+    running : FleetSettings
+        The settings with which the proxy was started.
+    update : FleetSettings
+        Those read after the settings file has changed.
+    """
+    parts.shutdown.timeout_s = update.stop_timeout_s
+    log_event('reloaded', stop_timeout_s=update.stop_timeout_s)
+    unapplied = [
+        name
+        for name, setting in update._asdict().items()
+        if name not in RELOADED_SETTINGS and setting != getattr(running, name)
+    ]
+    if unapplied:
+        log_event('restart needed', settings=unapplied)
+
+
 def _resource_at_path(path: tuple[bytes, ...], leaf: resource.Resource):
     root = resource.Resource()
     inner = root
--- a/packages/toucandeald/src/toucandeald/fleet_shutdown.py
+++ b/packages/toucandeald/src/toucandeald/fleet_shutdown.py
@@ -13,13 +13,14 @@
 from toucandeald.logs import log_event
 from toucandeald.periodic_calls import call_every
 from toucandeald.session_service import SessionService
+from toucandeald.session_shedding import BALANCER_NOTICE_S
 from toucandeald.shared_state import SharedState
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = ['FleetShutdown']
 
-NOTICE_S = 2.3  # for two probes of the load balancer, which are a second apart
 MARGIN_S = 0.7  # before the process would be killed
+DEREGISTER_TIMEOUT_S = 0.3  # within MARGIN_S; peers also note the silence
 CHECK_INTERVAL_S = 0.05
 
 
@@ -45,7 +46,7 @@
         self._gossip = gossip
         self._service = service
         self._lending = lending
-        self._timeout_s = timeout_s
+        self.timeout_s = timeout_s
         self._began_at = 0.0
         self._deregistering = False
 
@@ -62,8 +63,8 @@
             return
         service = self._service
         elapsed_s = steady_seconds() - self._began_at
-        overdue = elapsed_s >= self._timeout_s - MARGIN_S
-        if elapsed_s >= min(NOTICE_S, self._timeout_s / 2):
+        overdue = elapsed_s >= self.timeout_s - MARGIN_S
+        if elapsed_s >= min(BALANCER_NOTICE_S, self.timeout_s / 2):
             self._close_idle()
         in_use = service.connections or self._lending.count
         if overdue or (service.closing_idle and not in_use):
@@ -73,6 +74,7 @@
             for connection in tuple(service.connections):
                 connection.close()
             deregistering = defer.ensureDeferred(self._state.deregister())
+            deregistering.addTimeout(DEREGISTER_TIMEOUT_S, self._reactor)
             deregistering.addBoth(lambda _: self.lifecycle.drained())
 
     def _close_idle(self) -> None:
--- a/packages/toucandeald/src/toucandeald/platform_client.py
+++ b/packages/toucandeald/src/toucandeald/platform_client.py
@@ -86,13 +86,13 @@
         reply = yield self._request('GET', f'/tables/{table}/{key}')
         if reply.status == HTTPStatus.NOT_FOUND:
             return None
-        return msgspec.json.decode(reply.body, type=StoredRow)
+        return _decode(reply.body, StoredRow)
 
     @defer.inlineCallbacks
     def rows(self, table: str):
         """Return all rows of a table as a dict by key."""
         reply = yield self._request('GET', f'/tables/{table}')
-        return msgspec.json.decode(reply.body, type=dict[str, StoredRow])
+        return _decode(reply.body, dict[str, StoredRow])
 
     @defer.inlineCallbacks
     def transact(self, conditions: list[Condition], writes: list[Write]):
@@ -114,4 +114,13 @@
     def vms(self):
         """Return the platform's list of VMs."""
         reply = yield self._request('GET', '/vms')
-        return msgspec.json.decode(reply.body, type=list[VmRow])
+        return _decode(reply.body, list[VmRow])
+
+
+def _decode(body: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailable(
+            f'The reply of the store cannot be decoded: {error}', _REMEDY
+        ) from None
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -17,6 +17,7 @@
 from toucandeal.promotion import (
     LOCK_DURATION_S,
     Trigger,
+    leads_since,
     promotion_delay_s,
     promotion_trigger,
 )
@@ -354,11 +355,14 @@
     async def _wait_for_effect(
         self, held_lock: HeldLock, chosen: Server, term: int
     ) -> int:
-        """Wait until the chosen server is primary, and return its term."""
+        """Wait until the chosen server leads, and return its term.
+
+        `term` is the highest one that a server has reported before.
+        """
         until = steady_seconds() + EFFECT_TIMEOUT_S
         while steady_seconds() < until:
             report = (await self._reports.gather([chosen])).get(chosen.name)
-            if report is not None and report.is_primary:
+            if leads_since(report, term):
                 return report.term
             await pause(self._clock, EFFECT_POLL_INTERVAL_S)
         raise PromotionAbandoned(
--- a/packages/toucandeald/src/toucandeald/session_shedding.py
+++ b/packages/toucandeald/src/toucandeald/session_shedding.py
@@ -7,7 +7,7 @@
 from toucandeald.logs import log_event
 from toucandeald.session_service import SessionService
 
-__all__ = ['SessionShedding']
+__all__ = ['BALANCER_NOTICE_S', 'SessionShedding']
 
 BALANCER_NOTICE_S = 2.3  # for two probes of the load balancer, a second apart
 
--- a/packages/toucandeald/src/toucandeald/target_pool.py
+++ b/packages/toucandeald/src/toucandeald/target_pool.py
@@ -12,6 +12,7 @@
 CONNECT_TIMEOUT_S = 0.5
 STATUS_TIMEOUT_S = 0.5
 RECONNECT_DELAY_S = 0.05
+CLOSED = 'the target is no longer declared'
 HTTP_HEAD_BYTES = 100  # assumed size of the heads of a request and its reply
 
 
@@ -27,6 +28,7 @@
         self.address = address
         self._reactor = reactor
         self._size = 0
+        self._closed = False
         self._idle: deque[HttpConnection] = deque()
         self._connections: set[HttpConnection] = set()
         self._opening_count = 0
@@ -64,6 +66,8 @@
         It fails with :class:`HttpRequestError`, with `sent` False, if no
         connection to the target can be opened.
         """
+        if self._closed:
+            return defer.fail(HttpRequestError(CLOSED, sent=False))
         connection_request = defer.Deferred()
         self._connection_requests.append(connection_request)
         self._fill()
@@ -98,12 +102,14 @@
         return reply
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, and fail the requests that wait for one."""
         self._size = 0
+        self._closed = True
         for connection in tuple(self._connections):
             connection.close()
         if self._control is not None:
             self._control.close()
+        self._fail_waiting(CLOSED)
 
     def _fill(self) -> None:
         for _ in range(self._size - self.open_connections):
@@ -147,6 +153,8 @@
         self._schedule_fill()
 
     def _schedule_fill(self) -> None:
+        if self._closed:
+            return
         if self._fill_call is None or not self._fill_call.active():
             self._fill_call = self._reactor.callLater(
                 RECONNECT_DELAY_S, self._fill
--- a/packages/toucandeald/src/toucandeald/tests/test_server_reports.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_reports.py
@@ -17,7 +17,7 @@
 SERVER = Server('i-1', 'g', '10.0.0.1:80', 'z1', 2, False, False)
 FULL = ServerAnswer(AnswerKind.TOO_MANY_CONNECTIONS, [], '', 'full')
 POSITION = LogPosition(1, 7)
-REPORT = ServerReport(False, 1, POSITION, POSITION)
+REPORT = ServerReport(False, 1, POSITION)
 
 
 class Connection:
