--- a/packages/toucandeal/src/toucandeal/tests/simulated_store.py
+++ b/packages/toucandeal/src/toucandeal/tests/simulated_store.py
@@ -31,7 +31,7 @@
 
     def __init__(self, rows):
         self.state = StoreState({}, StoreVersion(1, 0))
-        self.copies = [self.state]
+        self.copies = []
         self.transact({}, rows)
 
     def transact(self, preconditions, puts):
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+import xxhash
+
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import (
     FleetConfiguration,
@@ -60,10 +62,14 @@
 RELAYED_LEASE_AGE_S = 0.6  # an older lease is renewed by an own read
 RANK_DELAY_S = 0.05  # added per rank, so that proxies do not all read at once
 OWN_READ_INTERVAL_S = 3.0  # peers do not relay the registered proxies
+# Part of the interval by which those of different proxies differ, so that
+# proxies that start together do not all read together.
+INTERVAL_SPREAD = 0.2
 # Between two proxies that read a table again after the store dropped the
 # changes that all of them wait for.
 REREAD_SPACING_S = 0.002
 CHECK_INTERVAL_S = 0.05
+HASH_RANGE = 18_446_744_073_709_551_616
 
 
 class SharedTables(NamedTuple):
@@ -118,6 +124,9 @@
         self._shared = shared
         self._own = own
         self.server_list_complete_at = math.inf
+        self._own_read_interval_s = OWN_READ_INTERVAL_S * (
+            1 - INTERVAL_SPREAD * _fraction(own.name)
+        )
         self._read_at = -OWN_READ_INTERVAL_S
         # Of all rows at the last read, whether their records are valid or not.
         self._row_versions: dict[str, StoreVersion] = {}
@@ -414,10 +423,10 @@
         if not self.records_confirmed:
             return elapsed_s >= min(
                 READ_INTERVAL_S + self._rank() * RANK_DELAY_S,
-                OWN_READ_INTERVAL_S,
+                self._own_read_interval_s,
             )
         unregistered = set(self._tables.peers) - set(primary_lease.registered)
-        if elapsed_s >= OWN_READ_INTERVAL_S or (
+        if elapsed_s >= self._own_read_interval_s or (
             unregistered and elapsed_s >= READ_INTERVAL_S
         ):
             return True
@@ -471,5 +480,10 @@
         log_event('registered', address=self._own.address)
 
 
+def _fraction(name: str) -> float:
+    """Return a number from 0 to 1 that differs between names."""
+    return xxhash.xxh3_64_intdigest(name.encode()) / HASH_RANGE
+
+
 def _ignore(record: GroupRecord, expires_at: float) -> None:
     log_event('record ignored', group=record.group, until=expires_at)
