Move the registrations of proxies to a module of their own

Change: ProxyRegistry registers, deregisters, marks and removes; SilentProxies uses it. "marked silent" is logged only if the row was written (it was logged after a conflict too), and a deregistration that is given up is logged.

--- a/packages/toucandeald/src/toucandeald/fleet_shutdown.py
+++ b/packages/toucandeald/src/toucandeald/fleet_shutdown.py
@@ -75,7 +75,8 @@
                 connection.close()
             deregistering = defer.ensureDeferred(self._state.deregister())
             deregistering.addTimeout(DEREGISTER_TIMEOUT_S, self._reactor)
-            deregistering.addBoth(lambda _: self.lifecycle.drained())
+            deregistering.addErrback(_log_not_deregistered)
+            deregistering.addCallback(lambda _: self.lifecycle.drained())
 
     def _close_idle(self) -> None:
         service = self._service
@@ -83,3 +84,7 @@
             service.closing_idle = True
             self.listening.stopListening()
         service.close_idle_sessions()
+
+
+def _log_not_deregistered(failure) -> None:
+    log_event('deregistration failed', reason=failure.getErrorMessage())
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -32,6 +32,7 @@
 from toucandeal.store_versions import NO_VERSION, StoreVersion
 from toucandeald.background_tasks import keep_running
 from toucandeald.logs import log_event
+from toucandeald.proxy_registry import ProxyRegistry
 from toucandeald.server_list import REMOVAL_DELAY_S, ServerList
 from toucandeald.shared_records import (
     ERA_KEY,
@@ -39,13 +40,9 @@
     PromotionLock,
     Records,
     decode_records,
-    encode_proxy,
-    proxy_key,
 )
 from toucandeald.shared_store import (
     HistoryGone,
-    Precondition,
-    Put,
     SharedRow,
     Snapshot,
 )
@@ -112,6 +109,7 @@
         self.lock_seen_at = steady_seconds()
         self.record_seen_at: dict[str, float] = {}
         self.records: dict[str, SharedRow] = {}
+        self.registry = ProxyRegistry(store, own)
         self.server_list = ServerList(tables, shared.decode_server)
         self.unconfirmed: Records | None = None
         self.era = 0
@@ -179,12 +177,7 @@
     async def deregister(self) -> None:
         """Stop reading the store and remove this proxy's record."""
         self._stopped = True
-        try:
-            await self._store.transact(
-                [], [], [(RECORDS_TABLE, proxy_key(self._own.name))]
-            )
-        except StoreUnavailable as error:
-            log_event('deregistration failed', reason=str(error))
+        await self.registry.deregister()
 
     def note_era(self, era: int) -> bool:
         """Note the store's era in an answer or in a peer's heartbeat.
@@ -392,13 +385,17 @@
                 or registered.version == NO_VERSION
             ):
                 await self._register()
-                await self.read_records()
             elif self._read_is_due(now):
                 await self.read_records()
                 if not self.store_reachable:
                     await pause(self._clock, self._retry_delay_s())
             await pause(self._clock, CHECK_INTERVAL_S)
 
+    async def _register(self) -> None:
+        if not await self.registry.register():
+            await pause(self._clock, RETRY_DELAY_S)
+        await self.read_records()
+
     def _retry_delay_s(self) -> float:
         """Return the delay before a retry, after the store did not answer.
 
@@ -438,47 +435,6 @@
         )
         return now - primary_lease.store_as_of >= due_s
 
-    async def mark_silent(self, record: ProxyRecord) -> None:
-        """Mark a proxy as silent in the shared records."""
-        key = proxy_key(record.name)
-        marked = record._replace(silent=True)
-        try:
-            await self._store.transact(
-                [Precondition(RECORDS_TABLE, key, record.version)],
-                [Put(RECORDS_TABLE, key, encode_proxy(marked))],
-            )
-        except StoreUnavailable as error:
-            log_event('not marked silent', proxy=record.name, reason=str(error))
-            return
-        log_event('marked silent', proxy=record.name)
-        await self.read_records()
-
-    async def remove_proxy(self, record: ProxyRecord) -> None:
-        """Remove the record of a silent proxy."""
-        key = proxy_key(record.name)
-        try:
-            await self._store.transact(
-                [Precondition(RECORDS_TABLE, key, record.version)],
-                [],
-                [(RECORDS_TABLE, key)],
-            )
-        except StoreUnavailable as error:
-            log_event(
-                'silent proxy not removed', proxy=record.name, reason=str(error)
-            )
-
-    async def _register(self) -> None:
-        put = Put(
-            RECORDS_TABLE, proxy_key(self._own.name), encode_proxy(self._own)
-        )
-        try:
-            await self._store.transact([], [put])
-        except StoreUnavailable as error:
-            log_event('registration failed', reason=str(error))
-            await pause(self._clock, RETRY_DELAY_S)
-            return
-        log_event('registered', address=self._own.address)
-
 
 def _fraction(name: str) -> float:
     """Return a number from 0 to 1 that differs between names."""
--- a/packages/toucandeald/src/toucandeald/silent_proxies.py
+++ b/packages/toucandeald/src/toucandeald/silent_proxies.py
@@ -33,9 +33,13 @@
                 continue
             if record.silent:
                 if now - since >= FORGET_S:
-                    self._start_write(self._state.remove_proxy(record))
+                    self._start_write(self._state.registry.remove(record))
             elif now - since >= SILENT_S + self._rank() * RANK_DELAY_S:
-                self._start_write(self._state.mark_silent(record))
+                self._start_write(self._mark_silent(record))
+
+    async def _mark_silent(self, record: ProxyRecord) -> None:
+        if await self._state.registry.mark_silent(record):
+            await self._state.read_records()
 
     def _record_last_heard(self, record: ProxyRecord, now: float) -> float:
         peer = self._tables.peers.get(record.name)
