Mend the measures of the load model and of the bench's failover

Cause, each with a test that failed first or would have passed anything: - The load model's callers repeated writes that had failed; only reads may be repeated after that. - The bench's failover gap was cut at 1.5 s after the fault: a gap of 4.6 s was measured as 0.25 s. - The test of two takeover ranks never compared two: beside q, r and s this proxy always ranks first.

Also: one rule for a proxy's rank, one place for the store's era, the type of a feed's version. Not mended: the echo process of the bench can stay behind.

--- a/packages/toucandeal-standins/src/toucandeal_standins/bench/failover.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/bench/failover.py
@@ -78,16 +78,20 @@
             self.acknowledged.append(AcknowledgedWrite(tag, reactor.seconds()))
 
     def longest_gap(self, fault_at: float) -> float:
-        """Return the longest time without an acknowledgement around a fault."""
+        """Return the longest time without an acknowledgement since a fault.
+
+        A gap that has not ended yet counts up to now.
+        """
         times = sorted(
             entry.answered_at
             for entry in self.acknowledged
-            if fault_at - BEFORE_FAULT_S
-            <= entry.answered_at
-            <= fault_at + AFTER_FAULT_S
+            if entry.answered_at >= fault_at - BEFORE_FAULT_S
         )
         return max(
-            later - earlier for earlier, later in itertools.pairwise(times)
+            later - earlier
+            for earlier, later in itertools.pairwise(
+                [*times, reactor.seconds()]
+            )
         )
 
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
@@ -19,6 +19,7 @@
     'Callers',
     'Operation',
     'arrival_times',
+    'is_retryable',
     'sample_operation',
 ]
 
@@ -35,11 +36,7 @@
 REFUSED = 'refused'
 FAILED = 'failed'
 
-RETRYABLE_REPLIES = {
-    ReplyKind.REFUSED,
-    ReplyKind.ABORTED,
-    ReplyKind.FAILED,
-}
+NOT_KEPT_REPLIES = {ReplyKind.REFUSED, ReplyKind.ABORTED}
 
 
 class Step(NamedTuple):
@@ -137,7 +134,7 @@
         deadline_at = began_at + kind.deadline_ms / MS_PER_S
         reply, paused_s = await self._attempt(arrival, group)
         attempts = 1
-        while attempts < kind.attempts and _is_retryable(reply, arrival):
+        while attempts < kind.attempts and is_retryable(reply, arrival):
             wait_s = self._retry_delay_s(reply)
             if self._clock.seconds() + wait_s >= deadline_at + paused_s:
                 break
@@ -233,11 +230,11 @@
     return outcomes.get(reply.kind, FAILED)
 
 
-def _is_retryable(reply: CallerReply | None, arrival: Arrival) -> bool:
+def is_retryable(reply: CallerReply | None, arrival: Arrival) -> bool:
     """Return whether a caller retries after an attempt with this reply."""
-    if reply is None:
+    if reply is None or reply.kind is ReplyKind.FAILED:
         return not any(step.statement.writes for step in arrival.steps)
-    return reply.kind in RETRYABLE_REPLIES
+    return reply.kind in NOT_KEPT_REPLIES
 
 
 def arrival_times(
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
@@ -236,9 +236,8 @@
 
     def _report(self) -> ServerReport:
         server = self._server
-        position = server.applied
         return ServerReport(
-            server.is_primary, server.group.term, position, position
+            server.is_primary, server.group.term, server.applied
         )
 
     def _request_work_s(self, request: ServerRequest) -> float:
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_load_model.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_load_model.py
@@ -9,6 +9,12 @@
 import pytest
 
 from toucandeal.errors import BadSetting
+from toucandeal.fleet import Statement, Verb
+from toucandeal_standins.load_model.callers import (
+    Arrival,
+    Step,
+    is_retryable,
+)
 from toucandeal_standins.load_model.patterns import (
     load_pattern,
     pattern_names,
@@ -20,6 +26,7 @@
     earned_by_window,
     goodput,
 )
+from toucandeald.session_messages import CallerReply, ReplyKind
 
 SEED = 1
 
@@ -122,3 +129,14 @@
 def test_statistics_convert_to_a_bench_measure():
     measure = as_measure(_simulated('calm'), SEED)
     assert measure.series and measure.figures['all asked'] > 1000
+
+
+@pytest.mark.parametrize('writes', [False, True])
+@pytest.mark.parametrize('kind', [ReplyKind.FAILED, ReplyKind.REFUSED])
+def test_callers_repeat_a_failed_operation_only_if_it_reads(kind, writes):
+    statement = Statement(
+        Verb.WRITE if writes else Verb.READ, 'x', writes=writes
+    )
+    arrival = Arrival(None, 0, (Step(statement, 0, 0),))
+    expected = kind is ReplyKind.REFUSED or not writes
+    assert is_retryable(CallerReply(kind), arrival) == expected
--- a/packages/toucandeal/src/toucandeal/tests/test_failover.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_failover.py
@@ -11,7 +11,7 @@
     promote_answered,
     start_switchover,
 )
-from toucandeal.membership import heartbeat_received
+from toucandeal.membership import heartbeat_received, takeover_rank
 from toucandeal.tests.simulated_proxy import GROUP, TERM
 
 LOST_CONTACT_S = 10.0
@@ -172,6 +172,36 @@
     assert 0 <= first['wait_s'] <= (rank + 1) * 0.08
 
 
+def _takeover_wait(simulated_proxy, peer):
+    """Return this proxy's rank beside a peer, and its delay."""
+    for _ in range(2):
+        simulated_proxy.apply_event(
+            heartbeat_received,
+            _new_peer(simulated_proxy, peer, heard_at=simulated_proxy.now),
+            [],
+        )
+        simulated_proxy.now += 0.3
+        simulated_proxy.tables.ticked_at = simulated_proxy.now
+    for name in ('b', 'c'):
+        simulated_proxy.report_status(name, 5, upstream_age_s=LOST_CONTACT_S)
+    wait_s = next(
+        decision.inputs['wait_s']
+        for decision in simulated_proxy.pop_actions(Decision)
+        if decision.kind == 'suspect'
+    )
+    return takeover_rank(simulated_proxy.tables, GROUP), wait_s
+
+
+@pytest.mark.parametrize(('peer', 'expected'), [('q', 0), ('f', 1), ('m', 1)])
+def test_a_proxy_of_the_second_rank_leaves_the_first_one_time(
+    simulated_proxy, peer, expected
+):
+    rank, wait_s = _takeover_wait(simulated_proxy, peer)
+    stagger_s = simulated_proxy.tables.policies.stagger_s
+    assert rank == expected
+    assert rank * stagger_s <= wait_s <= 1.5 * rank * stagger_s
+
+
 def test_an_answer_that_was_overtaken_changes_nothing(simulated_proxy):
     simulated_proxy.now += 1
     now = simulated_proxy.now
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -85,7 +85,7 @@
     async def read_all(self, table: str) -> Snapshot:
         """Return a table's rows."""
 
-    async def changes(self, table: str, after: int, wait_s: float):
+    async def changes(self, table: str, after: StoreVersion, wait_s: float):
         """Return the rows of a table that changed after a version."""
 
     async def transact(self, preconditions, puts, removes=()):
@@ -112,7 +112,6 @@
         self.registry = ProxyRegistry(store, own)
         self.server_list = ServerList(tables, shared.decode_server)
         self.unconfirmed: Records | None = None
-        self.era = 0
         self.confirmed_era = 0
         self.configuration_content = b''
         self.store_reachable = False
@@ -135,6 +134,11 @@
         """Return whether the shared records have been read at least once."""
         return self._tables.primary_lease.registered_as_of > -math.inf
 
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that this proxy knows of."""
+        return self._tables.primary_lease.era
+
     @property
     def records_confirmed(self) -> bool:
         """Return whether the records are valid in the store's present era."""
@@ -191,7 +195,6 @@
         if era <= self.era:
             return era == self.era
         log_event('store era', era=era, before=self.era)
-        self.era = era
         begin_era(self._tables.primary_lease, era, steady_seconds())
         return True
 
@@ -328,7 +331,7 @@
             retry_delay_s = RETRY_DELAY_S
             if version is None:
                 log_event('feed restarted', table=table)
-                await pause(self._clock, self._rank() * REREAD_SPACING_S)
+                await pause(self._clock, self.rank() * REREAD_SPACING_S)
 
     async def _read_again(
         self,
@@ -358,7 +361,7 @@
         from a copy may have given out `version` again, so its changes after it
         are not complete.
         """
-        uses_short_wait = self._rank() < SHORT_WAIT_PROXIES
+        uses_short_wait = self.rank() < SHORT_WAIT_PROXIES
         changes = await self._store.changes(
             table,
             version,
@@ -410,7 +413,7 @@
             else RETRY_DELAY_S
         )
 
-    def _rank(self) -> int:
+    def rank(self) -> int:
         """Return this proxy's rank by name among the peers that it hears."""
         return sum(name < self._own.name for name in self._tables.peers)
 
@@ -419,7 +422,7 @@
         elapsed_s = now - self._read_at
         if not self.records_confirmed:
             return elapsed_s >= min(
-                READ_INTERVAL_S + self._rank() * RANK_DELAY_S,
+                READ_INTERVAL_S + self.rank() * RANK_DELAY_S,
                 self._own_read_interval_s,
             )
         unregistered = set(self._tables.peers) - set(primary_lease.registered)
@@ -427,7 +430,7 @@
             unregistered and elapsed_s >= READ_INTERVAL_S
         ):
             return True
-        rank = self._rank()
+        rank = self.rank()
         due_s = (
             RELAYED_LEASE_AGE_S + rank * RANK_DELAY_S
             if rank
--- a/packages/toucandeald/src/toucandeald/store_recovery.py
+++ b/packages/toucandeald/src/toucandeald/store_recovery.py
@@ -65,7 +65,7 @@
         step = self._step(now)
         if self._running or step is RecoveryStep.WAIT:
             return
-        self._due_at = self._due_at or now + self._rank() * RANK_DELAY_S
+        self._due_at = self._due_at or now + self._state.rank() * RANK_DELAY_S
         if now >= self._due_at:
             self._running = True
             run_in_background(self._confirm(), self._ended)
@@ -85,9 +85,6 @@
     def _ended(self) -> None:
         self._running = False
 
-    def _rank(self) -> int:
-        return sum(name < self._own.name for name in self._tables.peers)
-
     async def _confirm(self) -> None:
         state = self._state
         if not await state.read_records() or state.records_confirmed:
