Replace a leaving primary though another server claims its role

Cause: since a promotion may end with the present primary if its record had no holder. That was meant for records that wait for the servers after a restoration, but an ordinary record has no holder either. With an outdated entry of another server that claims the role, a leaving primary was recorded again and again and never replaced.

Change: is_unverified (changing, without a holder) decides, in the library; the promoter keeps the record that it found instead of two facts derived from it.

Before: test_a_leaving_primary_is_replaced_though_another_claims_its_role fails on. After: it passes, as do the promotion tests of test_end_to_end, all of test_store_restored, and the library's promotion, lease and recovery tests.

--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -20,6 +20,7 @@
     'ServerReport',
     'Trigger',
     'best_replica',
+    'is_unverified',
     'leads_since',
     'promotion_delay_s',
     'promotion_trigger',
@@ -139,6 +140,25 @@
     return max(reports, key=lambda name: reports[name].received, default=None)
 
 
+def is_unverified(record: GroupRecord) -> bool:
+    """Return whether the servers have yet to confirm a record's primary.
+
+    After the store was restored, records are marked as changing without a
+    holder. Nobody has ordered a promotion then, so a primary that leads may
+    stay one; in any other promotion it is to be replaced.
+
+    Examples
+    --------
+    >>> is_unverified(GroupRecord('g', 'a', changing=True))
+    True
+    >>> is_unverified(GroupRecord('g', 'a', changing=True, holder='p1'))
+    False
+    >>> is_unverified(GroupRecord('g', 'a'))
+    False
+    """
+    return record.changing and not record.holder
+
+
 def leads_since(report: ServerReport | None, term: int) -> bool:
     """Return whether a server leads `term` or a later one.
 
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -17,6 +17,7 @@
 from toucandeal.promotion import (
     LOCK_DURATION_S,
     Trigger,
+    is_unverified,
     leads_since,
     promotion_delay_s,
     promotion_trigger,
@@ -95,8 +96,8 @@
         self._running = False
         self._triggered_since: dict[str, float] = {}
         self._stopped_versions: dict[str, dict[str, StoreVersion]] = {}
-        self._resumed: dict[str, bool] = {}
-        self._order_possible: dict[str, bool] = {}
+        # By group, the record that the last promotion found.
+        self._found_records: dict[str, GroupRecord] = {}
 
     def tick(self, now: float) -> None:
         """Start the first promotion that is due, if none is running."""
@@ -137,7 +138,7 @@
             ):
                 return Trigger('no primary is recorded', planned=False)
             return None
-        if record.changing and not record.holder:
+        if is_unverified(record):
             return Trigger('the store was restored from a copy', planned=False)
         if record.changing and record.holder == self._tables.name:
             return Trigger('a promotion was left unfinished', record.planned)
@@ -239,8 +240,7 @@
         record = group_state(self._tables, name).record
         if record is None or self._trigger(name, steady_seconds()) is None:
             raise PromotionAbandoned('the group no longer needs a promotion')
-        self._resumed[name] = record.changing
-        self._order_possible[name] = bool(record.holder)
+        self._found_records[name] = record
         return await self._locks.acquire(
             record._replace(
                 changing=True,
@@ -295,13 +295,13 @@
         self, name: str, held_lock: HeldLock, trigger: Trigger
     ) -> None:
         record = held_lock.record
+        found = self._found_records[name]
         leader = await self._choice.current_leader(
-            record, resumed=self._resumed.get(name, False)
+            record, resumed=found.changing
         )
-        # An order of the promotion that is resumed may still arrive, so its
-        # old primary is not trusted to stay one.
-        may_stay = not self._order_possible.get(name, True)
-        if leader is not None and (may_stay or leader[0] != record.primary):
+        if leader is not None and (
+            leader[0] != record.primary or is_unverified(found)
+        ):
             log_event('promotion', group=name, step='found', server=leader[0])
             await self._complete_promotion(held_lock, leader[0], leader[1])
             return
