Specify workspaces and large fleets, and decode what they need

Two deployments have callers who identify themselves by keys and share limits, and one has more proxies than a full mesh of heartbeats carries.

The configuration now holds workspaces and digests of keys, routes know whether they are public, a proxy's row carries its failure domain, and the settings hold the limits.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -89,13 +89,24 @@
 
 
 class CallerSession:
-    """The state that a proxy keeps for one caller's connection."""
+    """The state that a proxy keeps for one caller's connection.
 
-    def __init__(self, identity: int, database: str, user: str) -> None:
+    `key_digest` identifies the key that the caller gave, and `workspace` is
+    the workspace that holds it; both are empty without workspaces.
+    """
+
+    def __init__(
+        self,
+        identity: int,
+        database: str,
+        key_digest: bytes = b'',
+        workspace: str = '',
+    ) -> None:
         """Start a session without values."""
         self.identity = identity
         self.database = database
-        self.user = user
+        self.key_digest = key_digest
+        self.workspace = workspace
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedShape] = {}
         self.seen: LogPosition = NOTHING_SEEN
--- a/packages/toucandeal/src/toucandeal/fleet.py
+++ b/packages/toucandeal/src/toucandeal/fleet.py
@@ -6,10 +6,13 @@
 """
 
 import enum
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from toucandeal.positions import LogPosition
 from toucandeal.store_versions import NO_VERSION, StoreVersion
+from toucandeal.workspaces import Workspace
 
 __all__ = [
     'FleetConfiguration',
@@ -39,7 +42,7 @@
 
     `timeout_s` limits one statement, `latency_objective_s` is the latency
     objective of a whole operation, and `freshness_s` the greatest age of data
-    that a read accepts.
+    that a read accepts. A public route needs no key.
     """
 
     database: str
@@ -49,6 +52,7 @@
     latency_objective_s: float
     priority: int = 0
     freshness_s: float = 0.0
+    is_public: bool = False
 
 
 class InteractiveGroup(NamedTuple):
@@ -60,12 +64,18 @@
 
 
 class FleetConfiguration(NamedTuple):
-    """One version of the configuration that operators declare."""
+    """One version of the configuration that operators declare.
+
+    `key_workspaces` maps the digest of each key to the name of its workspace.
+    Without workspaces, callers need no key and have no limits.
+    """
 
     version: int
     routes: dict[str, Route]
     groups: dict[str, InteractiveGroup]
     idle_transaction_s: float
+    workspaces: Mapping[str, Workspace] = MappingProxyType({})
+    key_workspaces: Mapping[bytes, str] = MappingProxyType({})
 
 
 class Server(NamedTuple):
@@ -122,6 +132,7 @@
     address: str
     silent: bool = False
     version: StoreVersion = NO_VERSION
+    failure_domain: str = ''
 
 
 class Verb(enum.Enum):
--- a/packages/toucandeal/src/toucandeal/statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/statement_queue.py
@@ -40,13 +40,15 @@
     """A statement's priority and time limits for a connection.
 
     `late_at` is when its caller's latency objective ends, and `ends_at` the
-    time from which a connection is too late for an answer.
+    time from which a connection is too late for an answer. The connection has
+    to be one of `workspace`.
     """
 
     priority: int
     database: str
     late_at: float
     ends_at: float
+    workspace: str = ''
 
 
 class WaitingStatement(NamedTuple):
--- a/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
@@ -43,7 +43,7 @@
 
 
 def test_a_session_without_a_transaction_is_idle():
-    session = CallerSession(1, 'db', 'user')
+    session = CallerSession(1, 'db')
     assert session.state == 'idle'
 
 
@@ -52,7 +52,7 @@
 
     @initialize()
     def begin(self):
-        self.sessions = [CallerSession(n, 'db', 'u') for n in range(3)]
+        self.sessions = [CallerSession(n, 'db') for n in range(3)]
         self.connection_states = [ConnectionState(), ConnectionState()]
         # The state of each connection at its server.
         self.values = [{}, {}]
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -97,6 +97,7 @@
         settings.name,
         random.SystemRandom().randrange(1, INCARNATIONS),
         settings.listen_peers,
+        failure_domain=settings.failure_domain,
     )
     tables = FleetTables(settings.name, settings.failure_domain)
     metrics = PrometheusMetrics()
--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -2,13 +2,35 @@
 
 from typing import NamedTuple
 
-__all__ = ['FleetSettings']
+__all__ = ['FleetSettings', 'RateBounds']
+
+
+class RateBounds(NamedTuple):
+    """How far a workspace's operations may exceed its limit.
+
+    In any window, at most (rate x window + burst) x (1 + overage) + slack.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.1
+    slack: float = 20.0
 
 
 class FleetSettings(NamedTuple):
-    """Name, listen addresses and stop timeout of a proxy.
+    """Name, listen addresses and limits of a proxy.
 
-    `first_start` is set only while the whole system starts for the first time.
+    Attributes
+    ----------
+    first_start : bool
+        Set only while the whole system starts for the first time.
+    revocation_limit_s : float or None
+        Time after which no proxy may serve a removed key, even if the proxy is
+        disconnected. None if a removed key only has to end with its
+        configuration.
+    rate_bounds : RateBounds
+    crossing_cost_s : float or None
+        What a read that leaves the failure domain costs the operator, as an
+        additional wait. None keeps the fixed preference for the own domain.
     """
 
     name: str
@@ -19,3 +41,6 @@
     listen_metrics: str
     stop_timeout_s: float
     first_start: bool = False
+    revocation_limit_s: float | None = None
+    rate_bounds: RateBounds = RateBounds()
+    crossing_cost_s: float | None = None
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -88,7 +88,8 @@
                 reason=f'database {database!r} is not declared; ask an '
                 'operator for a route with this name',
             )
-        session = CallerSession(next(self._identities), database, user)
+        del user
+        session = CallerSession(next(self._identities), database)
         self.sessions[session.identity] = session
         return session
 
--- a/packages/toucandeald/src/toucandeald/shared_records.py
+++ b/packages/toucandeald/src/toucandeald/shared_records.py
@@ -60,6 +60,7 @@
     incarnation: int
     address: str
     silent: bool = False
+    failure_domain: str = ''
 
 
 class _Era(msgspec.Struct):
@@ -111,7 +112,12 @@
 def encode_proxy(record: ProxyRecord) -> bytes:
     """Encode a proxy's record."""
     return msgspec.json.encode(
-        _Proxy(record.incarnation, record.address, record.silent)
+        _Proxy(
+            record.incarnation,
+            record.address,
+            record.silent,
+            record.failure_domain,
+        )
     )
 
 
@@ -154,7 +160,12 @@
         name = row.key.removeprefix(_PROXY_PREFIX)
         proxy = msgspec.json.decode(row.content, type=_Proxy)
         decoded.proxies[name] = ProxyRecord(
-            name, proxy.incarnation, proxy.address, proxy.silent, row.version
+            name,
+            proxy.incarnation,
+            proxy.address,
+            proxy.silent,
+            row.version,
+            proxy.failure_domain,
         )
     elif row.key == PROMOTION_LOCK_KEY:
         lock = msgspec.json.decode(row.content, type=_Lock)
--- a/packages/toucandeald/src/toucandeald/statement_calls.py
+++ b/packages/toucandeald/src/toucandeald/statement_calls.py
@@ -69,6 +69,7 @@
             self.route.database,
             self.began_at + self.route.latency_objective_s - latency_s,
             ends_at - latency_s,
+            self.session.workspace,
         )
 
 
