Print the refusal and the proxies' logs where a booking is refused

The listed test test_scarce_connections_are_used_by_few_proxies_and_all_serve failed once without saying why. It now prints the whole reply and the last 60 log lines of each proxy.

--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
@@ -11,6 +11,7 @@
 from toucandeal_standins.process import free_port, post, wait_until
 from toucandeal_standins.requests import SyncSession, in_background
 
+LOG_TAIL_LINES = 60  # cover the last second of a proxy
 BAD_COMMANDS = [
     ('', 'Begin with one of'),
     ('shwo groups', 'Begin with one of'),
@@ -246,12 +247,22 @@
         wait_until(lambda: _freshness(proxy) == 11, 'the configuration')
 
 
+def _account(cluster, reply):
+    """Return a reply and the last log lines of each proxy."""
+    tails = (
+        f'{proxy.name}: {line}'
+        for proxy in cluster.proxies
+        for line in proxy.log.read_text().splitlines()[-LOG_TAIL_LINES:]
+    )
+    return '\n'.join((repr(reply), *tails))
+
+
 def test_scarce_connections_are_used_by_few_proxies_and_all_serve():
     with declared_cluster(ATELIER._replace(connections=8)) as cluster:
         session = SyncSession(cluster, 'conservators')
         for number in range(8):
             reply = session.book(f'few-{number}', proxy=number % 4)
-            assert reply.outcome == 'served'
+            assert reply.outcome == 'served', _account(cluster, reply)
             assert session.bookings(f'few-{number}', proxy=3 - number % 4) == 1
         connected = [
             proxy.command('show targets where connections > 0')['rows']
