Identify callers by keys, and end the sessions of removed keys

Cause: any key was accepted, and a removed key went on working until its caller disconnected.

A session's key is looked up when it starts, when a statement arrives and right before the statement is sent. Replies are counted by workspace.

Ruled out: a row that is not a configuration voids no proof, since one garbled write would otherwise end the service of all workspaces.

--- a/packages/toucandeal/src/toucandeal/fleet.py
+++ b/packages/toucandeal/src/toucandeal/fleet.py
@@ -12,7 +12,7 @@
 
 from toucandeal.positions import LogPosition
 from toucandeal.store_versions import NO_VERSION, StoreVersion
-from toucandeal.workspaces import Workspace
+from toucandeal.workspaces import Workspace, workspace_of
 
 __all__ = [
     'FleetConfiguration',
@@ -24,6 +24,7 @@
     'Server',
     'Verb',
     'Statement',
+    'session_workspace',
     'parse_position',
     'format_position',
 ]
@@ -78,6 +79,24 @@
     key_workspaces: Mapping[bytes, str] = MappingProxyType({})
 
 
+def session_workspace(
+    configuration: FleetConfiguration, database: str, digest: bytes
+) -> str | None:
+    """Return the workspace of a session, or None if it must be refused.
+
+    Without workspaces no key is needed, and the workspace is empty. A database
+    that has no route any more counts as one that is not public.
+    """
+    if not configuration.workspaces:
+        return ''
+    route = configuration.routes.get(database)
+    return workspace_of(
+        configuration.key_workspaces,
+        digest,
+        needs_key=route is None or not route.is_public,
+    )
+
+
 class Server(NamedTuple):
     """A server as it registers itself; `born_ms` differs after a restart."""
 
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from toucandeal.backoff import Backoff
+from toucandeal.configuration_freshness import ConfigurationFreshness
 from toucandeal.fleet import FleetConfiguration, GroupRecord, Server
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.primary_lease import PrimaryLease, may_use_primary
@@ -18,6 +19,7 @@
     'ServerLoad',
     'apply_configuration',
     'apply_record',
+    'configuration_version',
     'group_state',
     'is_confirmed',
     'record_position',
@@ -107,6 +109,7 @@
         self.groups: dict[str, GroupState] = {}
         self.peers: dict[str, PeerView] = {}
         self.primary_lease = PrimaryLease(name)
+        self.configuration_freshness = ConfigurationFreshness()
         self.draining = False
 
 
@@ -122,6 +125,11 @@
     return tables.loads[name]
 
 
+def configuration_version(tables: FleetTables) -> int:
+    """Return the version of the configuration in force; 0 if there is none."""
+    return 0 if tables.configuration is None else tables.configuration.version
+
+
 def apply_configuration(
     tables: FleetTables, update: FleetConfiguration
 ) -> bool:
--- a/packages/toucandeal/src/toucandeal/workspaces.py
+++ b/packages/toucandeal/src/toucandeal/workspaces.py
@@ -5,9 +5,10 @@
 """
 
 import hashlib
+from collections.abc import Mapping
 from typing import NamedTuple
 
-__all__ = ['Workspace', 'key_digest']
+__all__ = ['Workspace', 'key_digest', 'workspace_of']
 
 
 class Workspace(NamedTuple):
@@ -40,3 +41,40 @@
     'ca978112'
     """
     return hashlib.sha256(key.encode()).digest()
+
+
+def workspace_of(
+    key_workspaces: Mapping[bytes, str],
+    digest: bytes,
+    *,
+    needs_key: bool,
+) -> str | None:
+    """Return the workspace in which a session runs.
+
+    Parameters
+    ----------
+    key_workspaces : mapping
+        Name of the workspace by digest of the key, of the configuration in
+        force.
+    digest : bytes
+        Of the key that the caller gave.
+    needs_key : bool
+        Whether a session without a known key is refused.
+
+    Returns
+    -------
+    str or None
+        The workspace, an empty string for none, or None if the session must
+        be refused.
+
+    Examples
+    --------
+    >>> keys = {key_digest('a'): 'north'}
+    >>> workspace_of(keys, key_digest('a'), needs_key=True)
+    'north'
+    >>> workspace_of(keys, key_digest('b'), needs_key=False)
+    ''
+    >>> workspace_of(keys, key_digest('b'), needs_key=True) is None
+    True
+    """
+    return key_workspaces.get(digest, None if needs_key else '')
--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -3,6 +3,7 @@
 from toucandeal.caller_sessions import CallerSession, OpenTransaction
 from toucandeal.fleet import Verb
 from toucandeal.placement import Placement, Refusal, place_read, place_write
+from toucandeald.admission import KEY_CHANGED, holds_workspace
 from toucandeald.background_tasks import log_failure
 from toucandeald.forwarding_context import ForwardingContext
 from toucandeald.logs import log_event
@@ -61,6 +62,8 @@
             )
             if not applied:
                 return self._abort(call, 'the connection was lost')
+            if not holds_workspace(self._context.tables, call.session):
+                return self._abort(call, KEY_CHANGED)
             transaction.wrote = transaction.wrote or call.writes
             log_event(
                 'statement',
@@ -107,7 +110,10 @@
             if answer.kind is AnswerKind.COMPLETED:
                 return None
             refusal = refusal_for(answer)
-            if steady_seconds() - call.began_at > call.retry_window_s:
+            elapsed_s = steady_seconds() - call.began_at
+            if elapsed_s > call.retry_window_s or not holds_workspace(
+                self._context.tables, call.session
+            ):
                 break
         self.fail(call.session, refusal.reason)
         return refused(call.session, refusal)
@@ -140,6 +146,9 @@
         if not self._context.validation.is_current(placement):
             self._context.pools.release(placement.server, connection)
             return withheld('the primary may have changed')
+        if not holds_workspace(self._context.tables, call.session):
+            self._context.pools.release(placement.server, connection)
+            return withheld(KEY_CHANGED)
         answer = await self._context.pools.call(
             placement.server,
             connection,
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -11,6 +11,7 @@
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.primary_lease import counted_proxies
+from toucandeald.admission import Admission
 from toucandeald.background_tasks import run_in_background
 from toucandeald.borrowing import Borrowing
 from toucandeald.confirmations import Confirmations
@@ -19,6 +20,7 @@
 from toucandeald.fleet_shutdown import FleetShutdown
 from toucandeald.fleet_wire import FleetMessage
 from toucandeald.forwarding import Forwarding
+from toucandeald.freshness_calls import FreshnessCalls
 from toucandeald.gossip import HEARTBEAT_INTERVAL_S, Gossip
 from toucandeald.lending import Lending
 from toucandeald.lifecycle import Lifecycle, LifecycleState, new_lifecycle
@@ -110,7 +112,13 @@
     gossip.on_borrower_message = lending.received
     gossip.on_lender_message = borrowing.received
     forwarding = _new_forwarding(reactor, tables, pools)
-    service = SessionService(tables, forwarding, metrics)
+    service = SessionService(
+        tables,
+        forwarding,
+        Admission(tables, forwarding.transactions, settings.revocation_limit_s),
+        metrics,
+    )
+    state.on_configuration = service.end_revoked_sessions
     work_stopper = WorkStopper(reactor, tables, pools, service, gossip)
     watch = PrimaryWatch(reactor, tables, ports.open_link)
     promoter = Promoter(
@@ -212,6 +220,8 @@
         reactor, settings.listen_sessions, parts.service
     )
     parts.state.start()
+    if settings.revocation_limit_s is not None:
+        FreshnessCalls(reactor, parts.tables, parts.state).start()
     call_every(HEARTBEAT_INTERVAL_S, parts.gossip.send_heartbeats)
     call_every(TICK_S, lambda: _tick(parts))
     call_every(MAINTENANCE_INTERVAL_S, lambda: _run_maintenance(parts))
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -1,5 +1,7 @@
 """The messages between proxies that serve interactive sessions."""
 
+import math
+
 import msgspec
 
 from toucandeal.store_versions import StoreVersion
@@ -35,6 +37,8 @@
     counts among the proxies.
     `demands` is how many connections the sender could use, by server, and
     `store_era` the newest era of the store that the sender knows of.
+    `freshness_age` is the age of the sender's proof that its configuration is
+    the newest one; infinity if it has none in that era.
     """
 
     sender: str
@@ -55,6 +59,7 @@
     demands: dict[str, float]
     failure_domain: str
     store_era: int = 0
+    freshness_age: float = math.inf
 
 
 class RowCopy(msgspec.Struct, array_like=True):
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -3,6 +3,11 @@
 import math
 from collections.abc import Callable, Iterable
 
+from toucandeal.configuration_freshness import (
+    PeerFreshness,
+    freshness_age,
+    prove_by_peer,
+)
 from toucandeal.copy_schedule import (
     CopySchedule,
     OutdatedPeer,
@@ -10,7 +15,12 @@
     copy_rank,
 )
 from toucandeal.fleet import ProxyRecord
-from toucandeal.fleet_tables import FleetTables, PeerView, server_load
+from toucandeal.fleet_tables import (
+    FleetTables,
+    PeerView,
+    configuration_version,
+    server_load,
+)
 from toucandeal.primary_lease import (
     PeerLeaseReport,
     counted_proxies,
@@ -186,7 +196,6 @@
         none_begun = not primary_lease.promoting_groups
         if none_begun:
             self.none_begun_sent_at = now
-        configuration = self._tables.configuration
         self.send(
             address,
             Heartbeat(
@@ -204,14 +213,15 @@
                 counts_recipient=name in counted,
                 confirms_none_begun=none_begun,
                 records_version=self._state.records_version,
-                configuration_version=(
-                    0 if configuration is None else configuration.version
-                ),
+                configuration_version=configuration_version(self._tables),
                 servers_version=self._state.server_list.version,
                 primary_heard_ages=self._primary_heard_ages(now),
                 demands=demands,
                 failure_domain=self._tables.failure_domain,
                 store_era=self._state.era,
+                freshness_age=freshness_age(
+                    self._tables.configuration_freshness, now
+                ),
             ),
         )
 
@@ -252,8 +262,20 @@
             heartbeat.store_era,
         )
         self._state.note_era(heartbeat.store_era)
-        if heartbeat.echo_incarnation == self._own.incarnation:
-            self._renew_lease(heartbeat, heartbeat.echo + heartbeat.echo_age)
+        echoed = heartbeat.echo_incarnation == self._own.incarnation
+        sent_after = heartbeat.echo + heartbeat.echo_age
+        prove_by_peer(
+            self._tables.configuration_freshness,
+            PeerFreshness(
+                heartbeat.configuration_version,
+                heartbeat.freshness_age,
+                heartbeat.store_era,
+            ),
+            configuration_version(self._tables),
+            sent_after if echoed else -math.inf,
+        )
+        if echoed:
+            self._renew_lease(heartbeat, sent_after)
         self._update_peer(heartbeat)
 
     def _renew_lease(self, heartbeat: Heartbeat, sent_after: float) -> None:
@@ -278,8 +300,7 @@
         """Send a peer copies of its outdated tables when they are due."""
         name = self._own.name
         state = self._state
-        configuration = self._tables.configuration
-        version = 0 if configuration is None else configuration.version
+        version = configuration_version(self._tables)
         if self._copy_is_due(
             heartbeat,
             RECORDS_SCHEDULE,
--- a/packages/toucandeald/src/toucandeald/prometheus_metrics.py
+++ b/packages/toucandeald/src/toucandeald/prometheus_metrics.py
@@ -4,6 +4,8 @@
 from prometheus_client.twisted import MetricsResource
 from twisted.web import resource
 
+from toucandeald.workspace_metrics import WorkspaceMetrics
+
 __all__ = ['PrometheusMetrics']
 
 # Spread around the latency objectives of callers, 100 to 800 ms.
@@ -15,7 +17,9 @@
 
     def __init__(self) -> None:
         """Register the metrics."""
+        self.workspaces = WorkspaceMetrics()
         self._registry = CollectorRegistry()
+        self._registry.register(self.workspaces)
         self._replies = Counter(
             'toucandeal_replies',
             'Replies to callers',
--- a/packages/toucandeald/src/toucandeald/session_messages.py
+++ b/packages/toucandeald/src/toucandeald/session_messages.py
@@ -32,7 +32,8 @@
     """The outcome of a request, as reported to the caller.
 
     ``REFUSED`` and ``ABORTED`` guarantee that the operation had no effect;
-    ``UNKNOWN`` and ``TIMED_OUT`` guarantee nothing.
+    ``UNKNOWN`` and ``TIMED_OUT`` guarantee nothing. The session is closed
+    after ``AUTHENTICATION_FAILED``, and the statement has not run.
     """
 
     OPENED = 'opened'
@@ -45,13 +46,15 @@
     UNKNOWN_DATABASE = 'unknown database'
     UNKNOWN_STATEMENT = 'unknown statement'
     MALFORMED = 'malformed'
+    AUTHENTICATION_FAILED = 'authentication failed'
 
 
 class CallerReply(NamedTuple):
     """The complete reply to a request of a caller.
 
     `state` is the state of the session: ``idle``, ``open`` or ``failed``.
-    `busy` marks a refusal for lack of capacity.
+    `busy` marks a refusal for lack of capacity. `cause` names the cause in
+    metrics, where `kind` does not.
     """
 
     kind: ReplyKind
@@ -62,6 +65,7 @@
     reason: str = ''
     retry_after_s: float = 0
     busy: bool = False
+    cause: str = ''
 
 
 class AnswerKind(enum.Enum):
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -13,6 +13,8 @@
 )
 from toucandeal.fleet import Statement, Verb
 from toucandeal.fleet_tables import FleetTables
+from toucandeal.workspaces import key_digest
+from toucandeald.admission import Admission
 from toucandeald.forwarding import Forwarding
 from toucandeald.logs import log_event
 from toucandeald.prometheus_metrics import PrometheusMetrics
@@ -33,6 +35,7 @@
         self,
         tables: FleetTables,
         forwarding: Forwarding,
+        admission: Admission,
         metrics: PrometheusMetrics,
     ) -> None:
         """Initialize the service without sessions."""
@@ -41,6 +44,7 @@
         self.closing_idle = False
         self._tables = tables
         self._forwarding = forwarding
+        self._admission = admission
         self._metrics = metrics
         self._identities = itertools.count(1)
 
@@ -58,17 +62,34 @@
             self._forwarding.transactions.end(session, 'the caller has left')
 
     def went_idle(self, connection) -> None:
-        """Close a connection that became idle while the proxy shuts down."""
-        if self.closing_idle and _is_outside_transaction(connection.session):
+        """Close a connection that became idle while the proxy shuts down.
+
+        So is one whose key was removed while its last statement ran.
+        """
+        session = connection.session
+        if self.closing_idle and _is_outside_transaction(session):
+            connection.close()
+        elif session is not None and self._admission.ends_idle_session(session):
             connection.close()
 
+    def end_revoked_sessions(self) -> None:
+        """Close idle connections whose keys the configuration lacks."""
+        for connection in list(self.connections):
+            session = connection.session
+            if (
+                session is not None
+                and connection.idle
+                and self._admission.ends_idle_session(session)
+            ):
+                connection.close()
+
     def close_idle_sessions(self) -> None:
         """Close idle connections without an open transaction."""
         for connection in list(self.connections):
             if connection.idle and _is_outside_transaction(connection.session):
                 connection.close()
 
-    def open(self, database: str, user: str) -> CallerSession | CallerReply:
+    def open(self, database: str, key: str) -> CallerSession | CallerReply:
         """Open a session, or return the reply that refuses it."""
         configuration = self._tables.configuration
         if configuration is None:
@@ -88,8 +109,13 @@
                 reason=f'database {database!r} is not declared; ask an '
                 'operator for a route with this name',
             )
-        del user
-        session = CallerSession(next(self._identities), database)
+        session = CallerSession(
+            next(self._identities), database, key_digest(key)
+        )
+        refusal = self._admission.check_start(session, steady_seconds())
+        if refusal is not None:
+            self._count_by_workspace(session, refusal)
+            return refusal
         self.sessions[session.identity] = session
         return session
 
@@ -100,7 +126,9 @@
         began_at = steady_seconds()
         session.busy = True
         try:
-            answer = await self._run(session, identity, statement, began_at)
+            answer = await self._admit_and_run(
+                session, identity, statement, began_at
+            )
         finally:
             session.busy = False
         if session.identity not in self.sessions:
@@ -109,6 +137,7 @@
         self._metrics.count_reply(
             statement.verb.value, answer.kind.value, took_s
         )
+        self._count_by_workspace(session, answer)
         if answer.kind is not ReplyKind.DONE:
             log_event(
                 'reply',
@@ -150,6 +179,27 @@
                     session, 'it was idle for too long'
                 )
 
+    def _count_by_workspace(
+        self, session: CallerSession, answer: CallerReply
+    ) -> None:
+        if self._tables.configuration.workspaces:
+            self._metrics.workspaces.count(
+                session.workspace, answer.cause or answer.kind.value
+            )
+
+    async def _admit_and_run(
+        self,
+        session: CallerSession,
+        identity: str,
+        statement: Statement,
+        began_at: float,
+    ) -> CallerReply:
+        refusal = await self._admission.admit(session, statement, began_at)
+        if refusal is not None:
+            return refusal
+        answer = await self._run(session, identity, statement, began_at)
+        return self._admission.revised(session, answer)
+
     async def _run(
         self,
         session: CallerSession,
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -12,6 +12,7 @@
 
 import xxhash
 
+from toucandeal.configuration_freshness import prove_by_call, start_era
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import (
     FleetConfiguration,
@@ -23,6 +24,7 @@
     FleetTables,
     apply_configuration,
     apply_record,
+    configuration_version,
 )
 from toucandeal.primary_lease import (
     begin_era,
@@ -105,6 +107,8 @@
     ) -> None:
         """Initialize without any rows."""
         self.on_record: Callable[[GroupRecord, float], None] = _ignore
+        self.on_configuration: Callable[[], None] = _do_nothing
+        self.configuration_wait_s = FEED_WAIT_S
         self.promotion_lock = PromotionLock()
         self.lock_seen_at = steady_seconds()
         self.record_seen_at: dict[str, float] = {}
@@ -127,7 +131,9 @@
         self._read_at = -OWN_READ_INTERVAL_S
         # Of all rows at the last read, whether their records are valid or not.
         self._row_versions: dict[str, StoreVersion] = {}
-        self._stopped = False
+        self.stopped = False
+        # Of the configuration's table, from which the feed continues.
+        self._configuration_position: StoreVersion | None = None
 
     @property
     def has_read_records(self) -> bool:
@@ -180,7 +186,7 @@
 
     async def deregister(self) -> None:
         """Stop reading the store and remove this proxy's record."""
-        self._stopped = True
+        self.stopped = True
         await self.registry.deregister()
 
     def note_era(self, era: int) -> bool:
@@ -196,8 +202,26 @@
             return era == self.era
         log_event('store era', era=era, before=self.era)
         begin_era(self._tables.primary_lease, era, steady_seconds())
+        start_era(self._tables.configuration_freshness, era)
         return True
 
+    async def prove_freshness(self) -> None:
+        """Read the configuration's changes at once, as proof of its freshness.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store did not answer.
+        """
+        position = self._configuration_position
+        if position is not None:
+            await self._read_changes(
+                self._shared.configuration_table,
+                position,
+                self.apply_configuration_rows,
+                0,
+            )
+
     async def read_records(self) -> bool:
         """Read the shared records and return whether the store answered."""
         sent_at = steady_seconds()
@@ -261,6 +285,7 @@
                 routes=len(configuration.routes),
                 groups=len(configuration.groups),
             )
+            self.on_configuration()
 
     def server_list_is_complete(self, now: float) -> bool:
         """Return whether a server without an entry is certain to be gone.
@@ -318,7 +343,7 @@
     ) -> None:
         version: StoreVersion | None = None
         retry_delay_s = RETRY_DELAY_S
-        while not self._stopped:
+        while not self.stopped:
             try:
                 if version is None:
                     version = await self._read_again(table, reset)
@@ -339,6 +364,7 @@
         reset: Callable[[list[SharedRow], StoreVersion], None],
     ) -> StoreVersion:
         """Read a whole table, and return the version to continue from."""
+        sent_at = steady_seconds()
         snapshot = await self._store.read_all(table)
         if not self.note_era(snapshot.version.era):
             raise StoreUnavailable(
@@ -347,8 +373,26 @@
                 'Read again; a new connection reaches the restored store',
             )
         reset(snapshot.rows, snapshot.version)
+        self._note_applied(table, sent_at, snapshot.version)
         return snapshot.version
 
+    def _note_applied(
+        self, table: str, sent_at: float, version: StoreVersion
+    ) -> None:
+        """Note that an answer to a call sent at `sent_at` has been applied.
+
+        A row that is not a configuration is no version of it. It proves that
+        there is no newer one, so a garbled write doesn't end the service.
+        """
+        if table == self._shared.configuration_table:
+            self._configuration_position = version
+            prove_by_call(
+                self._tables.configuration_freshness,
+                configuration_version(self._tables),
+                sent_at,
+                version.era,
+            )
+
     async def _follow_once(
         self,
         table: str,
@@ -361,23 +405,39 @@
         from a copy may have given out `version` again, so its changes after it
         are not complete.
         """
-        uses_short_wait = self.rank() < SHORT_WAIT_PROXIES
-        changes = await self._store.changes(
-            table,
-            version,
-            FEED_WAIT_S if uses_short_wait else RELAYED_FEED_WAIT_S,
+        return await self._read_changes(
+            table, version, apply, self._wait_s(table)
         )
+
+    def _wait_s(self, table: str) -> float:
+        if self.rank() >= SHORT_WAIT_PROXIES:
+            return RELAYED_FEED_WAIT_S
+        if table == self._shared.configuration_table:
+            return self.configuration_wait_s
+        return FEED_WAIT_S
+
+    async def _read_changes(
+        self,
+        table: str,
+        version: StoreVersion,
+        apply: Callable[[list[SharedRow]], None],
+        wait_s: float,
+    ) -> StoreVersion | None:
+        sent_at = steady_seconds()
+        changes = await self._store.changes(table, version, wait_s)
         if isinstance(changes, HistoryGone):
             self.note_era(changes.era)
             return None
-        self.note_era(changes.version.era)
+        current = self.note_era(changes.version.era)
         if changes.version.era != version.era:
             return None
         apply(changes.rows)
+        if current:
+            self._note_applied(table, sent_at, changes.version)
         return changes.version
 
     async def _read_periodically(self) -> None:
-        while not self._stopped:
+        while not self.stopped:
             now = steady_seconds()
             primary_lease = self._tables.primary_lease
             registered = primary_lease.registered.get(self._own.name)
@@ -446,3 +506,7 @@
 
 def _ignore(record: GroupRecord, expires_at: float) -> None:
     log_event('record ignored', group=record.group, until=expires_at)
+
+
+def _do_nothing() -> None:
+    """Let a new configuration take effect with the next statements."""
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -1,6 +1,7 @@
 """Runs statements outside transactions, and retries them where that is safe."""
 
 from toucandeal.placement import Placement, Refusal, place_read, place_write
+from toucandeald.admission import KEY_CHANGED, holds_workspace
 from toucandeald.forwarding_context import ForwardingContext
 from toucandeald.logs import log_event
 from toucandeald.replies import (
@@ -68,7 +69,7 @@
                 return self._context.validation.complete_read(
                     call, placement, answer
                 )
-            if steady_seconds() >= call.deadline_at:
+            if self._has_ended(call):
                 break
         if answer is None:
             return refused(call.session, placement)
@@ -76,6 +77,11 @@
             return reply(call.session, ReplyKind.FAILED, answer.reason)
         return refused(call.session, refusal_for(answer))
 
+    def _has_ended(self, call: StatementCall) -> bool:
+        return steady_seconds() >= call.deadline_at or not self._is_admitted(
+            call
+        )
+
     async def _next_placement(
         self,
         call: StatementCall,
@@ -122,10 +128,14 @@
                 )
                 if answer.kind not in NO_EFFECT:
                     return await self._reply_to_write(call, placement, answer)
-            if steady_seconds() - call.began_at > call.retry_window_s:
+            elapsed_s = steady_seconds() - call.began_at
+            if elapsed_s > call.retry_window_s or not self._is_admitted(call):
                 break
         return refused(call.session, refusal_for(answer))
 
+    def _is_admitted(self, call: StatementCall) -> bool:
+        return holds_workspace(self._context.tables, call.session)
+
     async def _reply_to_write(
         self, call: StatementCall, placement: Placement, answer: ServerAnswer
     ) -> CallerReply:
@@ -178,6 +188,9 @@
         if not self._context.validation.is_current(placement):
             self._context.pools.release(server, connection)
             return withheld('the primary may have changed')
+        if not self._is_admitted(call):
+            self._context.pools.release(server, connection)
+            return withheld(KEY_CHANGED)
         request = Forward(
             call.identity, call.statement, call.prepared, placement.after
         )
