--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -15,6 +15,7 @@
 from toucandeal.primary_lease import record_store_read
 from toucandeal_standins.load_model.patterns import Deployment, ProxySpec
 from toucandeal_standins.load_model.servers import ModelConnection, ModelGroup
+from toucandeald.admission import Admission
 from toucandeald.background_tasks import run_in_background
 from toucandeald.borrowing import Borrowing
 from toucandeald.confirmations import Confirmations
@@ -84,7 +85,12 @@
         forwarding = Forwarding(
             clock, tables, self.pools, confirmations, environment.generator
         )
-        self.service = SessionService(tables, forwarding, PrometheusMetrics())
+        self.service = SessionService(
+            tables,
+            forwarding,
+            Admission(tables, forwarding.transactions, None),
+            PrometheusMetrics(),
+        )
         self._run_upkeep()
 
     def apply_group_record(self, record: GroupRecord) -> None:
