Divide server connections among workspaces

Cause: a server connection served statements of any caller, and a server knew only the proxy's fixed user. Workspaces must not share connections.

Change: connections are opened in the name of a workspace, and a pool matches statements to connections of their workspace. A pool opens a connection only where it serves a statement sooner, and closes the least useful idle one for it at its limit. The queue is fair among workspaces, then among databases. With workspaces, a server has two lenders in each failure domain, a borrower chooses the lender by server and workspace, and all lenders together open at most half of the server's connections.

Ruled out: a pool for each workspace, since its limit could not follow demand within the server's limit.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
@@ -194,6 +194,8 @@
         session = proxy.service.open(_database(arrival, group), 'model')
         if isinstance(session, CallerReply):
             return session, 0
+        if self._deployment.workspaces:
+            session.workspace = str(arrival.member)
         paused_s = 0.0
         reply: CallerReply | None = None
         for step in arrival.steps:
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/patterns.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/patterns.py
@@ -54,7 +54,11 @@
 
 
 class Deployment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Servers and callers; each group has one server per failure domain."""
+    """Servers and callers; each group has one server per failure domain.
+
+    `members` share the load in proportion to ``1 / rank ** member_exponent``.
+    With `workspaces` set, each is a workspace.
+    """
 
     name: str
     proxies: list[ProxySpec]
@@ -72,12 +76,23 @@
     pause_ms: float
     members: int
     kinds: list[Kind]
+    member_exponent: float = 0
+    workspaces: bool = False
 
     @property
     def failure_domains(self) -> list[str]:
         """Return the failure domains, in the order of the proxies."""
         return list(dict.fromkeys(each.failure_domain for each in self.proxies))
 
+    @property
+    def member_shares(self) -> list[float]:
+        """Return each member's share of the load."""
+        weights = [
+            1 / rank**self.member_exponent
+            for rank in range(1, self.members + 1)
+        ]
+        return [weight / sum(weights) for weight in weights]
+
 
 class EventKind(enum.Enum):
     """Kinds of events during a simulation."""
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -13,6 +13,7 @@
 )
 from toucandeal.fleet_tables import FleetTables, PeerView, apply_record
 from toucandeal.primary_lease import record_store_read
+from toucandeal.workspaces import Workspace
 from toucandeal_standins.load_model.patterns import Deployment, ProxySpec
 from toucandeal_standins.load_model.servers import ModelConnection, ModelGroup
 from toucandeald.background_tasks import run_in_background
@@ -148,11 +149,18 @@
             connection.close(self._environment.deployment.linger_s)
 
     def _renew_lease(self) -> None:
-        names = [spec.name for spec in self._environment.deployment.proxies]
         record_store_read(
             self.tables.primary_lease,
             self._environment.clock.seconds(),
-            {name: ProxyRecord(name, INCARNATION, name) for name in names},
+            {
+                spec.name: ProxyRecord(
+                    spec.name,
+                    INCARNATION,
+                    spec.name,
+                    failure_domain=spec.failure_domain,
+                )
+                for spec in self._environment.deployment.proxies
+            },
         )
         if self.running:
             self._environment.clock.callLater(
@@ -167,7 +175,10 @@
             self.lending.tick(now)
             self._environment.clock.callLater(UPKEEP_S, self._run_upkeep)
 
-    async def _open_connection(self, server: Server, timeout_s: float):
+    async def _open_connection(
+        self, server: Server, workspace: str, timeout_s: float
+    ):
+        del workspace
         environment = self._environment
         group = environment.groups[server.group]
         target = next(
@@ -230,4 +241,12 @@
             for number in range(deployment.groups)
         },
         IDLE_TRANSACTION_S,
+        _workspaces(deployment),
     )
+
+
+def _workspaces(deployment: Deployment) -> dict[str, Workspace]:
+    if not deployment.workspaces:
+        return {}
+    names = map(str, range(deployment.members))
+    return {name: Workspace(name) for name in names}
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/simulation.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/simulation.py
@@ -235,7 +235,8 @@
 def _rate_function(
     pattern: Pattern, deployment: Deployment, kind: Kind, member: int
 ):
-    base = kind.per_s * pattern.load / deployment.members
+    share = deployment.member_shares[member]
+    base = kind.per_s * pattern.load * share
 
     def rate_at(now: float) -> float:
         swing = pattern.wave * math.sin(2 * math.pi * now / pattern.wave_s)
--- a/packages/toucandeal/src/toucandeal/lending.py
+++ b/packages/toucandeal/src/toucandeal/lending.py
@@ -7,19 +7,25 @@
   while the connections of the other proxies are idle. Instead, a few lenders
   open several connections each, and the other proxies borrow one for a
   statement or a transaction.
+- There are some seventy workspaces, and a connection serves only one of them.
+  Two lenders in each failure domain hold the connections, and a borrower
+  chooses by the workspace, so the connections of a workspace are few and used
+  often.
 - All proxies lose power at once. Their connections stay open at the servers
   for seconds, so all lenders together open only a part of the connections that
   a server accepts, and the rest is free when the proxies restart.
 """
 
-from collections.abc import Iterable
+import itertools
+from collections.abc import Iterable, Mapping
 
 from toucandeal.membership import rendezvous_order
 
-__all__ = ['choose_lender', 'lenders']
+__all__ = ['choose_lender', 'domain_lenders', 'lendable', 'lenders']
 
 LENDER_SHARE = 0.5  # of a server's connections; all may reconnect at once
 MIN_CONNECTIONS_PER_LENDER = 2  # with one, statements queue
+LENDERS_PER_DOMAIN = 2  # one may be lost; more divide a workspace's connections
 
 
 def lenders(server: str, proxies: Iterable[str], limit: int) -> list[str]:
@@ -41,22 +47,68 @@
     >>> len(lenders('s', names, limit=28))
     7
     """
-    max_lenders = max(
-        int(limit * LENDER_SHARE) // MIN_CONNECTIONS_PER_LENDER, 1
-    )
-    return rendezvous_order(proxies, server)[:max_lenders]
+    return rendezvous_order(proxies, server)[: _max_lenders(limit)]
+
+
+def lendable(limit: int) -> int:
+    """Return how many connections all lenders with workspaces may open.
+
+    Idle connections of many workspaces are worth keeping, so a lender uses all
+    that it may open. The rest is free after a loss of all proxies.
+
+    Examples
+    --------
+    >>> lendable(70), lendable(1)
+    (35, 1)
+    """
+    return max(int(limit * LENDER_SHARE), 1)
+
+
+def domain_lenders(
+    server: str, domains: Mapping[str, str], limit: int
+) -> list[str]:
+    """Return the proxies that open connections where there are workspaces.
+
+    Parameters
+    ----------
+    server : str
+    domains : mapping of str to str
+        The failure domain of each proxy that is counted.
+    limit : int
+        Connections that the server accepts.
+
+    Examples
+    --------
+    >>> domains = {f'p{number}': 'abc'[number % 3] for number in range(26)}
+    >>> selected = domain_lenders('s', domains, limit=70)
+    >>> sorted(domains[name] for name in selected)
+    ['a', 'a', 'b', 'b', 'c', 'c']
+    """
+    ranks: dict[str, itertools.count] = {}
+    ranked = [
+        (next(ranks.setdefault(domains[name], itertools.count())), name)
+        for name in rendezvous_order(domains, server)
+    ]
+    # The first of each domain precede the second ones, if not all are lenders.
+    ranked.sort(key=lambda each: each[0])
+    selected = [name for rank, name in ranked if rank < LENDERS_PER_DOMAIN]
+    return selected[: _max_lenders(limit)]
+
+
+def _max_lenders(limit: int) -> int:
+    return max(lendable(limit) // MIN_CONNECTIONS_PER_LENDER, 1)
 
 
 def choose_lender(
-    server: str, own: str, candidates: Iterable[str], nearby: frozenset[str]
+    server: str, key: str, candidates: Iterable[str], nearby: frozenset[str]
 ) -> str | None:
     """Return the lender that a proxy borrows from, or None.
 
     Parameters
     ----------
     server : str
-    own : str
-        The borrower.
+    key : str
+        The borrower's name or, where there are workspaces, the workspace.
     candidates : iterable of str
         Live lenders.
     nearby : frozenset of str
@@ -73,4 +125,4 @@
     preferred = (live & nearby) or live
     if not preferred:
         return None
-    return rendezvous_order(preferred, f'{server} {own}')[0]
+    return rendezvous_order(preferred, f'{server} {key}')[0]
--- a/packages/toucandeal/src/toucandeal/statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/statement_queue.py
@@ -6,13 +6,16 @@
   still be in time precede statements that are already late, so a backlog does
   not make every statement late.
 - Mixed priorities: the lower priority number goes first.
-- One member firm that sends many times its share: statements of equal priority
-  are served by fair queueing among databases, so the statements of the others
-  wait no longer than before.
+- One workspace or one member firm that sends many times its share: statements
+  of equal priority are served by fair queueing among workspaces, and within a
+  workspace among databases, so the statements of the others wait no longer than
+  before.
 - Sustained overload: a statement that would wait past its useful time is
   refused at once, with a time after which to retry.
 """
 
+import collections
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from toucandeal.queues import (
@@ -33,6 +36,8 @@
     'is_worth_waiting',
     'leave',
     'next_statement',
+    'service_lead',
+    'service_order',
 ]
 
 
@@ -41,14 +46,14 @@
 
     `late_at` is when its caller's latency objective ends, and `ends_at` the
     time from which a connection is too late for an answer. The connection has
-    to be one of `workspace`.
+    to be one of `workspace`; a request of the proxy's own (None) may use any.
     """
 
     priority: int
     database: str
     late_at: float
     ends_at: float
-    workspace: str = ''
+    workspace: str | None = ''
 
 
 class WaitingStatement(NamedTuple):
@@ -58,13 +63,27 @@
     identity: int
 
 
+class _WorkspaceQueue:
+    """Statements of one priority.
+
+    `workspaces` is fair among workspaces, and determines only whose statement
+    is next; the queue in `databases` determines which one.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.workspaces = FairQueue()
+        self.databases: dict[str, FairQueue] = {}
+
+
 class StatementQueue:
-    """The waiting statements, by priority."""
+    """The waiting statements, by priority, and their number by workspace."""
 
     def __init__(self) -> None:
         """Start empty."""
         self.waiting: dict[int, WaitingStatement] = {}
-        self.by_priority: dict[int, FairQueue] = {}
+        self.by_priority: dict[int, _WorkspaceQueue] = {}
+        self.counts: collections.Counter[str | None] = collections.Counter()
 
     def __len__(self) -> int:
         """Return the number of waiting statements."""
@@ -86,10 +105,15 @@
     """
     queue.waiting[statement.identity] = statement
     connection_request = statement.connection_request
-    fair_queue = queue.by_priority.setdefault(
-        connection_request.priority, FairQueue()
+    queue.counts[connection_request.workspace] += 1
+    level = queue.by_priority.setdefault(
+        connection_request.priority, _WorkspaceQueue()
     )
-    add(fair_queue, connection_request.database, _queue_entry(statement))
+    workspace = connection_request.workspace or ''
+    entry = _queue_entry(statement)
+    add(level.workspaces, workspace, entry)
+    databases = level.databases.setdefault(workspace, FairQueue())
+    add(databases, connection_request.database, entry)
 
 
 def leave(
@@ -97,14 +121,19 @@
 ) -> None:
     """Remove a statement; only a served one counts towards the fair share."""
     del queue.waiting[statement.identity]
-    fair_queue = queue.by_priority[statement.connection_request.priority]
+    connection_request = statement.connection_request
+    queue.counts[connection_request.workspace] -= 1
+    if not queue.counts[connection_request.workspace]:
+        del queue.counts[connection_request.workspace]
+    level = queue.by_priority[connection_request.priority]
+    workspace = connection_request.workspace or ''
+    entry = _queue_entry(statement)
     cost = 1 if served else 0
-    remove(
-        fair_queue,
-        statement.connection_request.database,
-        _queue_entry(statement),
-        cost,
-    )
+    remove(level.workspaces, workspace, entry, cost)
+    databases = level.databases[workspace]
+    remove(databases, connection_request.database, entry, cost)
+    if not databases:
+        del level.databases[workspace]
 
 
 def _queue_entry(statement: WaitingStatement) -> QueueEntry:
@@ -113,11 +142,29 @@
     )
 
 
+def service_order(queue: StatementQueue) -> Iterator[WaitingStatement]:
+    """Yield the statements in order of service, the late ones not last."""
+    for _, level in sorted(queue.by_priority.items()):
+        databases = {
+            workspace: in_service_order(fair_queue)
+            for workspace, fair_queue in level.databases.items()
+        }
+        for workspace, _ in in_service_order(level.workspaces):
+            yield queue.waiting[next(databases[workspace])[1]]
+
+
 def next_statement(
-    queue: StatementQueue, now: float
+    queue: StatementQueue, now: float, workspace: str | None = None
 ) -> WaitingStatement | None:
     """Return the statement that gets the next connection.
 
+    Parameters
+    ----------
+    queue : StatementQueue
+    now : float
+    workspace : str, optional
+        Consider only statements that a connection of this workspace may serve.
+
     Examples
     --------
     >>> queue = StatementQueue()
@@ -126,10 +173,11 @@
     >>> next_statement(queue, 2.0).identity, next_statement(queue, 4.0).identity
     (1, 2)
     """
+    served = {workspace, None}
     ordered = (
-        queue.waiting[identity]
-        for _, fair_queue in sorted(queue.by_priority.items())
-        for _, identity in in_service_order(fair_queue)
+        statement
+        for statement in service_order(queue)
+        if workspace is None or statement.connection_request.workspace in served
     )
     first = next(ordered, None)
     if first is None or first.connection_request.late_at > now:
@@ -142,6 +190,31 @@
     return next(in_time, first)
 
 
+def service_lead(
+    queue: StatementQueue, priority: int, workspace: str, other: str
+) -> float:
+    """Return how many statements more a workspace was served than another.
+
+    Both have waiting statements of this priority.
+
+    Examples
+    --------
+    >>> queue = StatementQueue()
+    >>> for number, name in enumerate('aaab'):
+    ...     connection_request = ConnectionRequest(1, 'd', 5.0, 9.0, name)
+    ...     enter(queue, WaitingStatement(connection_request, number))
+    >>> for _ in range(2):
+    ...     leave(queue, next_statement(queue, 0.0, 'a'), served=True)
+    >>> service_lead(queue, 1, 'a', 'b')
+    2
+    """
+    level = queue.by_priority.get(priority)
+    if level is None:
+        return 0
+    virtual_times = level.workspaces.virtual_times
+    return virtual_times.get(workspace, 0) - virtual_times.get(other, 0)
+
+
 class ServiceRate(NamedTuple):
     """The rate at which a queue is served.
 
@@ -179,20 +252,33 @@
     0.07
     """
     service_interval_s = service.mean_use_s / max(service.connections, 1)
-    statements_ahead = sum(
-        (
-            statement.connection_request.priority,
-            statement.connection_request.late_at,
-        )
-        <= (connection_request.priority, connection_request.late_at)
-        for statement in queue.waiting.values()
-    )
+    statements_ahead = _count_ahead(queue, connection_request)
     wait_s = (statements_ahead + 1) * service_interval_s
     if now + wait_s < connection_request.late_at:
         return wait_s
     return (len(queue) + 1) * service_interval_s
 
 
+def _count_ahead(
+    queue: StatementQueue, connection_request: ConnectionRequest
+) -> int:
+    """Return how many statements are served before one that arrives now.
+
+    Of the same priority, fair queueing serves at most one more of another
+    workspace than of the statement's own.
+    """
+    place = (connection_request.priority, connection_request.late_at)
+    urgent = 0
+    ahead: collections.Counter[str | None] = collections.Counter()
+    for statement in queue.waiting.values():
+        other = statement.connection_request
+        if (other.priority, other.late_at) <= place:
+            urgent += other.priority < connection_request.priority
+            ahead[other.workspace] += other.priority == place[0]
+    own = ahead.pop(connection_request.workspace, 0)
+    return urgent + own + sum(min(count, own + 1) for count in ahead.values())
+
+
 def is_worth_waiting(
     queue: StatementQueue,
     connection_request: ConnectionRequest,
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -8,7 +8,7 @@
 from toucandeal.caller_sessions import ConnectionState, PreparedShape
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
-from toucandeal.lending import choose_lender, lenders
+from toucandeal.lending import choose_lender, domain_lenders, lenders
 from toucandeal.primary_lease import counted_proxies
 from toucandeald.lending_wire import (
     BorrowedAnswer,
@@ -170,10 +170,19 @@
             return [tables.name]
         limit = configuration.groups[server.group].connection_limit
         counted = counted_proxies(tables.primary_lease) | {tables.name}
-        return lenders(server.name, counted, limit)
+        if not configuration.workspaces:
+            return lenders(server.name, counted, limit)
+        registered = tables.primary_lease.registered
+        domains = {
+            name: registered[name].failure_domain
+            for name in counted
+            if name in registered
+        }
+        domains[tables.name] = tables.failure_domain
+        return domain_lenders(server.name, domains, limit)
 
-    def source(self, server: Server) -> str:
-        """Return where this proxy gets connections to a server.
+    def source(self, server: Server, workspace: str = '') -> str:
+        """Return where this proxy gets a workspace's connections to a server.
 
         Returns
         -------
@@ -186,7 +195,7 @@
         if self._tables.name in lender_names:
             return OPEN_DIRECTLY
         now = steady_seconds()
-        lender = self._live_lender(server, lender_names, now)
+        lender = self._live_lender(server, workspace, lender_names, now)
         if lender is not None:
             self._no_lender_since.pop(server.name, None)
             return lender
@@ -196,7 +205,11 @@
         )
 
     def _live_lender(
-        self, server: Server, lender_names: list[str], now: float
+        self,
+        server: Server,
+        workspace: str,
+        lender_names: list[str],
+        now: float,
     ) -> str | None:
         tables = self._tables
         live = {
@@ -211,12 +224,15 @@
             for name in live
             if tables.peers[name].failure_domain == tables.failure_domain
         )
-        return choose_lender(server.name, tables.name, live, near)
+        configuration = tables.configuration
+        divided = configuration is not None and configuration.workspaces
+        key = workspace if divided else tables.name
+        return choose_lender(server.name, key, live, near)
 
     async def borrow(
-        self, lender: str, server: Server, wait_s: float
+        self, lender: str, server: Server, workspace: str | None, wait_s: float
     ) -> BorrowedConnection | ServerAnswer:
-        """Return a connection that `lender` grants in time, or `NOT_LENT`."""
+        """Return a workspace's connection lent in time, or `NOT_LENT`."""
         loan_id = next(self._loan_ids)
         address = self._tables.peers[lender].address
         waiting: defer.Deferred = defer.Deferred()
@@ -233,6 +249,7 @@
                 loan_id,
                 server.name,
                 wait_s,
+                workspace,
             ),
         )
         lent = await waiting
--- a/packages/toucandeald/src/toucandeald/connection_pool.py
+++ b/packages/toucandeald/src/toucandeald/connection_pool.py
@@ -1,12 +1,17 @@
-"""The connections to one server, shared by all sessions of this proxy."""
+"""The connections to one server, shared by all sessions of this proxy.
 
+A connection belongs to the workspace for which it was opened, and serves only
+statements of that workspace and requests of the proxy's own.
+"""
+
+import collections
 import itertools
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 from twisted.internet import defer
 
-from toucandeal.caller_sessions import PreparedShape, setup_steps
+from toucandeal.caller_sessions import PreparedShape
 from toucandeal.fleet import Server
 from toucandeal.statement_queue import (
     ConnectionRequest,
@@ -17,8 +22,12 @@
     is_worth_waiting,
     leave,
     next_statement,
+    service_lead,
+    service_order,
 )
+from toucandeal.workspace_connections import keeps_workspace, serves
 from toucandeald.background_tasks import run_in_background
+from toucandeald.held_connections import HeldConnections
 from toucandeald.logs import log_event
 from toucandeald.session_messages import AnswerKind, ServerAnswer
 
@@ -27,15 +36,18 @@
 OPEN_TIMEOUT_S = 0.6  # a handshake may wait for one of the server's slots
 RETRY_DELAY_S = 0.1  # after a failed attempt to open a connection
 FULL_RETRY_DELAY_S = 0.3  # after a refusal for too many connections
-INITIAL_USE_TIME_S = 0.03  # assumed until a connection has been released
-USE_TIME_WEIGHT = 0.1  # of a new observation in the moving average
 IDLE_TIMEOUT_S = 4.0  # then an unused connection is closed
 
-OpenConnection = Callable[[Server, float], Coroutine[Any, Any, Any]]
+OpenConnection = Callable[[Server, str | None, float], Coroutine[Any, Any, Any]]
 
 
 class ConnectionPool:
-    """Open connections, and the statements that wait for one."""
+    """Open connections, and the statements that wait for one.
+
+    With `divided` set, connections are opened only as far as that serves the
+    statements of their workspace sooner. `uses` counts, by workspace, the
+    connections acquired since the owner last cleared it.
+    """
 
     def __init__(
         self,
@@ -49,15 +61,13 @@
         self.limit = 1
         self.opened = 0
         self.retains_idle = True
+        self.divided = False
+        self.uses: collections.Counter[str] = collections.Counter()
         self._clock = clock
         self._open_connection = open_connection
         self._on_attempt = on_attempt
-        self._mean_use_time_s = INITIAL_USE_TIME_S
         self._peak = 0
-        self._idle: dict[Any, float] = {}  # to the start of its idle time
-        self._connections: set = set()
-        self._acquired_at: dict[Any, float] = {}
-        self._opening = 0
+        self._held = HeldConnections(clock)
         self._queue = StatementQueue()
         self._waiters: dict[int, defer.Deferred] = {}
         self._identities = itertools.count()
@@ -67,7 +77,7 @@
     @property
     def size(self) -> int:
         """Return the number of connections, including those being opened."""
-        return len(self._connections) + self._opening
+        return self._held.size
 
     @property
     def waiting(self) -> int:
@@ -82,7 +92,12 @@
     @property
     def connections(self) -> frozenset:
         """Return the open connections."""
-        return frozenset(self._connections)
+        return frozenset(self._held.workspaces)
+
+    @property
+    def held(self) -> collections.Counter[str | None]:
+        """Return the number of connections by workspace."""
+        return self._held.counts
 
     async def acquire(
         self,
@@ -96,11 +111,13 @@
         all are busy, the statement waits unless it is expected to be served
         too late.
         """
-        connection = self._take_idle(values, shapes)
+        workspace = connection_request.workspace
+        connection = self._held.take_idle(workspace, values, shapes)
         if connection is None:
-            self._open_more()
-            connection = self._take_idle(values, shapes)
+            self._open_for(workspace, self._queue.counts[workspace] + 1)
+            connection = self._held.take_idle(workspace, values, shapes)
         if connection is not None:
+            self._mark_acquired(connection)
             return connection
         now = self._clock.seconds()
         if not self.size or not self._is_worth_waiting(connection_request):
@@ -125,34 +142,17 @@
 
     def release(self, connection) -> None:
         """Release a connection that is outside a transaction."""
-        if connection not in self._connections:
-            return
-        self._record_use_time(connection)
-        if (
-            not connection.usable
-            or self._closed
-            or len(self._connections) > self.limit
-        ):
-            self.discard(connection)
-        elif self._queue:
-            first = next_statement(self._queue, self._clock.seconds())
-            self._resolve_waiter(first, connection)
-        elif connection.borrowed:
-            self._connections.discard(connection)
-            connection.return_to_lender()
-        elif self.retains_idle:
-            self._idle[connection] = self._clock.seconds()
-        else:
-            self.discard(connection)
+        if connection in self._held.workspaces:
+            self._held.record_use_time(connection)
+            self._assign(connection, is_new=False)
+            if self.divided:
+                self._open_more()
 
     def discard(self, connection) -> None:
         """Close a connection whose state is unknown."""
-        self._connections.discard(connection)
-        self._record_use_time(connection)
-        self._idle.pop(connection, None)
-        connection.close()
-        if self._queue:
-            self._open_more()
+        self._held.record_use_time(connection)
+        self._close(connection)
+        self._open_more()
         self._fail_waiters()
 
     def trim(self, spares: int) -> None:
@@ -167,63 +167,124 @@
             Number of connections kept open regardless of their idle time.
         """
         unused_since = self._clock.seconds() - IDLE_TIMEOUT_S
-        for connection, since in tuple(self._idle.items()):
-            surplus = len(self._connections) - min(spares, self.limit)
+        for connection, since in tuple(self._held.idle.items()):
+            surplus = len(self._held.workspaces) - min(spares, self.limit)
             if surplus > 0 and (
-                len(self._connections) > self.limit or since < unused_since
+                len(self._held.workspaces) > self.limit or since < unused_since
             ):
                 self.discard(connection)
 
     def begin_period(self) -> None:
         """Start a new period of `peak`."""
-        self._peak = len(self._acquired_at) + len(self._queue)
+        self._peak = self._held.acquired + len(self._queue)
 
-    def open_spare(self, count: int) -> None:
-        """Open a connection if there are fewer than `count`."""
-        if self.size < min(count, self.limit):
-            self._open_more()
+    def open_spare(self, count: int, workspaces: Iterable[str] = ('',)) -> None:
+        """Open a connection if there are fewer than `count`.
+
+        If the pool is divided, it is for the first of the workspaces that has
+        none.
+        """
+        if self.size >= min(count, self.limit):
+            return
+        held = self.held if self.divided else {}
+        missing = next((each for each in workspaces if each not in held), None)
+        if missing is not None:
+            self._open_for(missing, 1)
 
     def close(self) -> None:
         """Close idle connections now and the others on their release."""
         self._closed = True
-        for connection in tuple(self._idle):
+        for connection in tuple(self._held.idle):
             self.discard(connection)
         self._fail_waiters()
 
-    def _take_idle(self, values, shapes):
-        self._idle = {
-            connection: since
-            for connection, since in self._idle.items()
-            if connection.usable
-        }
-        if not self._idle:
+    def _assign(self, connection, *, is_new: bool) -> None:
+        """Use a connection for a waiting statement, keep, return or close it.
+
+        A new one serves its own workspace first, since another statement may
+        have become more urgent than the one that it was opened for.
+        """
+        workspace = self._held.workspaces[connection]
+        if (
+            not connection.usable
+            or self._closed
+            or len(self._held.workspaces) > self.limit
+        ):
+            self.discard(connection)
+            return
+        now = self._clock.seconds()
+        own = self._next_of(workspace, now)
+        if own is None:
+            self._keep_idle(connection)
+            return
+        other = None if is_new else self._more_urgent(own, workspace, now)
+        if other is None:
+            self._resolve_waiter(own, connection)
+        else:
+            self._put_away(connection)
+            self._start_opening(other)
+
+    def _keep_idle(self, connection) -> None:
+        if connection.borrowed:
+            self._put_away(connection)
+        elif self.retains_idle:
+            self._held.idle[connection] = self._clock.seconds()
+        else:
+            self.discard(connection)
+
+    def _next_of(
+        self, workspace: str | None, now: float
+    ) -> WaitingStatement | None:
+        """Return the next statement that a connection may serve."""
+        if not any(
+            serves(workspace, requested) for requested in self._queue.counts
+        ):
+            return None
+        return next_statement(self._queue, now, workspace)
+
+    def _more_urgent(
+        self, own: WaitingStatement, workspace: str | None, now: float
+    ) -> str | None:
+        """Return the workspace that gets a released connection's place."""
+        first = next_statement(self._queue, now)
+        other = first.connection_request.workspace
+        if first is own or self.size < self.limit or now < self._next_open_at:
+            return None
+        if not self._held.is_opening_useful(other, self._queue.counts[other]):
             return None
-        best = min(
-            self._idle,
-            key=lambda connection: len(
-                setup_steps(connection.connection_state, values, shapes)
-            ),
+        lead = service_lead(
+            self._queue, first.connection_request.priority, workspace, other
         )
-        del self._idle[best]
-        self._mark_acquired(best)
-        return best
+        keeps = keeps_workspace(
+            own.connection_request,
+            first.connection_request,
+            lead,
+            self._held.opening_cost,
+            now,
+        )
+        return None if keeps else other
+
+    def _put_away(self, connection) -> None:
+        """Return a borrowed connection, and close another one."""
+        if connection.borrowed:
+            self._held.remove(connection)
+            connection.return_to_lender()
+        else:
+            self._close(connection)
+
+    def _close(self, connection) -> None:
+        self._held.remove(connection)
+        connection.close()
 
     def _mark_acquired(self, connection) -> None:
-        self._acquired_at[connection] = self._clock.seconds()
+        self._held.mark_acquired(connection)
+        self.uses[self._held.workspaces[connection] or ''] += 1
         self._record_peak()
 
     def _record_peak(self) -> None:
-        demand = len(self._acquired_at) + len(self._queue)
+        demand = self._held.acquired + len(self._queue)
         self._peak = max(self._peak, demand)
 
-    def _record_use_time(self, connection) -> None:
-        acquired_at = self._acquired_at.pop(connection, None)
-        if acquired_at is not None:
-            use_time_s = self._clock.seconds() - acquired_at
-            self._mean_use_time_s += USE_TIME_WEIGHT * (
-                use_time_s - self._mean_use_time_s
-            )
-
     def _resolve_waiter(self, statement: WaitingStatement, connection) -> None:
         leave(self._queue, statement, served=connection is not None)
         if connection is not None:
@@ -231,7 +292,7 @@
         self._waiters.pop(statement.identity).callback(connection)
 
     def _is_worth_waiting(self, connection_request: ConnectionRequest) -> bool:
-        service = ServiceRate(self.size, self._mean_use_time_s)
+        service = ServiceRate(self.size, self._held.mean_use_time_s)
         now = self._clock.seconds()
         return is_worth_waiting(self._queue, connection_request, service, now)
 
@@ -250,32 +311,72 @@
             self._resolve_waiter(first, None)
 
     def _open_more(self) -> None:
-        if self._closed or self.size >= self.limit:
+        """Open connections for waiting statements, in order of service.
+
+        A pool that is not divided opens one at a time.
+        """
+        if not self._queue or self._closed:
             return
-        if self._clock.seconds() < self._next_open_at:
+        if not self.divided:
+            self._open_for(
+                next(service_order(self._queue)).connection_request.workspace, 1
+            )
             return
-        self._opening += 1
-        run_in_background(self._open())
+        workspaces = dict.fromkeys(
+            statement.connection_request.workspace
+            for statement in service_order(self._queue)
+        )
+        for workspace in workspaces:
+            self._open_for(workspace, self._queue.counts[workspace])
 
-    async def _open(self) -> None:
+    def _open_for(self, workspace: str | None, waiting: int) -> None:
+        """Open a connection for a workspace's statements if there is room."""
+        if self._closed or self._clock.seconds() < self._next_open_at:
+            return
+        if self.divided and not self._held.is_opening_useful(
+            workspace, waiting
+        ):
+            return
+        if self.size < self.limit or self._make_room(workspace):
+            self._start_opening(workspace)
+
+    def _make_room(self, workspace: str | None) -> bool:
+        """Close an idle connection of another workspace if there is one."""
+        closed = self._held.idle_to_close(workspace)
+        if closed is not None:
+            self._close(closed)
+        return self.size < self.limit
+
+    def _start_opening(self, workspace: str | None) -> None:
+        self._held.opening[workspace] += 1
+        run_in_background(self._open(workspace))
+
+    async def _open(self, workspace: str | None) -> None:
+        began_at = self._clock.seconds()
         try:
-            opened = await self._open_connection(self.server, OPEN_TIMEOUT_S)
+            opened = await self._open_connection(
+                self.server, workspace, OPEN_TIMEOUT_S
+            )
         finally:
-            self._opening -= 1
+            self._held.opening[workspace] -= 1
         if isinstance(opened, ServerAnswer):
             self._on_open_failed(opened)
             return
         if self._closed:
             opened.close()
             return
-        self._connections.add(opened)
+        self._held.record_open_time(self._clock.seconds() - began_at)
+        # A lender's connection for any workspace serves no caller here.
+        is_lent = opened.borrowed
+        self._held.workspaces[opened] = (
+            workspace if is_lent else workspace or ''
+        )
         opened.on_closed = self._on_connection_closed
-        if not opened.borrowed:
+        if not is_lent:
             self.opened += 1
             self._on_attempt(self.server, None)
-        self.release(opened)
-        if self._queue:
-            self._open_more()
+        self._assign(opened, is_new=True)
+        self._open_more()
 
     def _on_open_failed(self, refusal: ServerAnswer) -> None:
         is_full = refusal.kind is AnswerKind.TOO_MANY_CONNECTIONS
@@ -289,7 +390,10 @@
         )
         self._on_attempt(self.server, refusal)
         self._fail_waiters()
+        if self.divided:
+            # Statements of a workspace without connections wait for no release.
+            self._clock.callLater(pause, self._open_more)
 
     def _on_connection_closed(self, connection) -> None:
-        if connection in self._connections:
+        if connection in self._held.workspaces:
             self.discard(connection)
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -105,7 +105,11 @@
         if server is not None:
             ends_at = steady_seconds() + loan_request.wait_s
             connection_request = ConnectionRequest(
-                LOAN_PRIORITY, loan_request.sender, ends_at, ends_at
+                LOAN_PRIORITY,
+                loan_request.sender,
+                ends_at,
+                ends_at,
+                loan_request.workspace,
             )
             connection = await self._pools.pool(server).acquire(
                 {}, [], connection_request
--- a/packages/toucandeald/src/toucandeald/lending_wire.py
+++ b/packages/toucandeald/src/toucandeald/lending_wire.py
@@ -53,7 +53,9 @@
 class LoanRequest(msgspec.Struct, tag='w', array_like=True):
     """A request for a connection to `server` within `wait_s`.
 
-    `loan_id` identifies the loan among those of the sender's incarnation.
+    `loan_id` identifies the loan among those of the sender's incarnation. The
+    connection has to be one of `workspace`; None is any, for the sender's own
+    requests.
     """
 
     sender: str
@@ -62,6 +64,7 @@
     loan_id: int
     server: str
     wait_s: float
+    workspace: str | None = ''
 
 
 class LoanReply(msgspec.Struct, tag='l', array_like=True):
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -1,5 +1,7 @@
 """Connection pools of all servers, and server states from their answers."""
 
+import collections
+import itertools
 from collections.abc import Iterable
 
 from toucandeal.caller_sessions import (
@@ -16,8 +18,10 @@
     record_position,
     server_load,
 )
+from toucandeal.lending import lendable
 from toucandeal.promotion import ServerReport
 from toucandeal.statement_queue import ConnectionRequest
+from toucandeal.workspace_connections import busiest
 from toucandeald.borrowing import NO_LENDER, NOT_LENT, OPEN_DIRECTLY, Borrowing
 from toucandeald.connection_pool import ConnectionPool, OpenConnection
 from toucandeald.logs import log_event
@@ -38,6 +42,7 @@
 MAX_BORROWED = 8  # connections to a server; fewer than it accepts
 INTERNAL_PRIORITY = -1  # this proxy's own requests precede all callers'
 IDLE_SPARES = 2  # per server, so that a failover needs no handshakes
+WORKSPACE_USE_DECAY = 0.9  # each maintenance interval, 0.25 s
 
 
 class ServerPools:
@@ -57,12 +62,28 @@
         self._open_connection = open_connection
         self._borrowing = borrowing
         self._pools: dict[str, ConnectionPool] = {}
+        self._workspace_uses: dict[str, float] = {}
 
     @property
     def opened(self) -> int:
         """Return the number of connections opened so far."""
         return sum(pool.opened for pool in self._pools.values())
 
+    @property
+    def workspace_connections(self) -> collections.Counter[str | None]:
+        """Return the number of connections by workspace, to all servers."""
+        return collections.Counter(
+            itertools.chain.from_iterable(
+                pool.held.elements() for pool in self._pools.values()
+            )
+        )
+
+    @property
+    def _divided(self) -> bool:
+        """Return whether the configuration in force has workspaces."""
+        configuration = self._tables.configuration
+        return configuration is not None and bool(configuration.workspaces)
+
     def pool(self, server: Server) -> ConnectionPool:
         """Return the pool of a server at its current address and start."""
         known = self._pools.get(server.name)
@@ -87,6 +108,7 @@
             self._pools.pop(name).close()
         if tables.configuration is None:
             return
+        kept = self._busiest_workspaces() if self._divided else ['']
         for server in tables.servers.values():
             if server.group in tables.configuration.groups:
                 pool = self.pool(server)
@@ -97,7 +119,21 @@
                 keeps_spares = pool.retains_idle and not server.leaving
                 spares = IDLE_SPARES if keeps_spares else 0
                 pool.trim(spares)
-                pool.open_spare(spares)
+                pool.open_spare(spares, kept)
+
+    def _busiest_workspaces(self) -> list[str]:
+        """Return the workspaces whose connections are opened in advance."""
+        uses = {
+            workspace: count * WORKSPACE_USE_DECAY
+            for workspace, count in self._workspace_uses.items()
+            if count >= 1
+        }
+        for pool in self._pools.values():
+            for workspace, count in pool.uses.items():
+                uses[workspace] = uses.get(workspace, 0) + count
+            pool.uses.clear()
+        self._workspace_uses = uses
+        return busiest(uses, IDLE_SPARES)
 
     async def acquire(
         self,
@@ -178,7 +214,11 @@
         pool = self.pool(server)
         now = steady_seconds()
         connection_request = ConnectionRequest(
-            INTERNAL_PRIORITY, '', now + wait_s, now + wait_s
+            INTERNAL_PRIORITY,
+            '',
+            now + wait_s,
+            now + wait_s,
+            None if self._divided else '',
         )
         connection = await pool.acquire({}, [], connection_request)
         if connection is None:
@@ -220,13 +260,19 @@
             for connection in pool.connections:
                 pool.discard(connection)
 
-    async def _open(self, server: Server, timeout_s: float):
-        source = self._borrowing.source(server)
+    async def _open(
+        self, server: Server, workspace: str | None, timeout_s: float
+    ):
+        source = self._borrowing.source(server, workspace or '')
         if source == NO_LENDER:
             return NOT_LENT
         if source == OPEN_DIRECTLY:
-            return await self._open_connection(server, timeout_s)
-        return await self._borrowing.borrow(source, server, timeout_s)
+            return await self._open_connection(
+                server, workspace or '', timeout_s
+            )
+        return await self._borrowing.borrow(
+            source, server, workspace, timeout_s
+        )
 
     def _update_limit(self, pool: ConnectionPool) -> None:
         configuration = self._tables.configuration
@@ -235,13 +281,17 @@
         declared = configuration.groups.get(pool.server.group)
         if declared is None:
             return
+        pool.divided = self._divided
         pool.retains_idle = self._borrowing.source(pool.server) == OPEN_DIRECTLY
         if not pool.retains_idle:
             pool.limit = MAX_BORROWED
             return
         demands = self._demands(pool.server)
+        limit = declared.connection_limit
         pool.limit = connection_share(
-            declared.connection_limit, demands, self._tables.name
+            lendable(limit) if pool.divided else limit,
+            demands,
+            self._tables.name,
         )
 
     def _demands(self, server: Server) -> dict[str, float]:
--- a/packages/toucandeald/src/toucandeald/server_reports.py
+++ b/packages/toucandeald/src/toucandeald/server_reports.py
@@ -62,7 +62,7 @@
     timeout_s: float,
 ) -> ServerAnswer:
     """Send a request over a new connection, and close it afterwards."""
-    connection = await open_link(server, timeout_s)
+    connection = await open_link(server, '', timeout_s)
     if isinstance(connection, ServerAnswer):
         return connection
     answer = await connection.call(request, timeout_s)
--- a/packages/toucandeald/src/toucandeald/tests/test_connection_pool.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_connection_pool.py
@@ -37,9 +37,9 @@
         self.attempts = []
         self.observed = []
 
-    async def open(self, server, timeout_s):
+    async def open(self, server, workspace, timeout_s):
         """Wait until the test sets the outcome of the attempt."""
-        del server, timeout_s
+        del server, workspace, timeout_s
         attempt = defer.Deferred()
         self.attempts.append(attempt)
         return await attempt
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -93,8 +93,8 @@
         )
         return tables
 
-    async def _open(self, server, timeout_s):
-        del server, timeout_s
+    async def _open(self, server, workspace, timeout_s):
+        del server, workspace, timeout_s
         self.connections.append(StubConnection())
         return self.connections[-1]
 
@@ -124,7 +124,7 @@
         """Return a list that receives the outcome of a loan request."""
         results = []
         borrowing = defer.ensureDeferred(
-            self.borrowing.borrow('a', SERVER, WAIT_S)
+            self.borrowing.borrow('a', SERVER, '', WAIT_S)
         )
         borrowing.addCallback(results.append)
         return results
--- a/packages/toucandeald/src/toucandeald/tests/test_server_reports.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_reports.py
@@ -47,9 +47,9 @@
     def __init__(self):
         self.room = 1
 
-    async def open(self, server, timeout_s):
+    async def open(self, server, workspace, timeout_s):
         """Open the only connection, or refuse."""
-        del server, timeout_s
+        del server, workspace, timeout_s
         if not self.room:
             return FULL
         self.room -= 1
