Limit the operations of a workspace across all proxies (untested draft)

One proxy keeps a token bucket for each workspace and grants tokens to the others, in proportion to the votes it has.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -92,7 +92,8 @@
     """The state that a proxy keeps for one caller's connection.
 
     `key_digest` identifies the key that the caller gave, and `workspace` is
-    the workspace that holds it; both are empty without workspaces.
+    the workspace that holds it; both are empty without workspaces. `ran` is
+    whether a server may have run the operation in progress.
     """
 
     def __init__(
@@ -112,6 +113,7 @@
         self.seen: LogPosition = NOTHING_SEEN
         self.transaction: OpenTransaction | None = None
         self.busy = False
+        self.ran = False
 
     @property
     def state(self) -> str:
--- a/packages/toucandeal/src/toucandeal/primary_lease.py
+++ b/packages/toucandeal/src/toucandeal/primary_lease.py
@@ -34,6 +34,7 @@
     'PrimaryLease',
     'begin_era',
     'counted_proxies',
+    'evidence_as_of',
     'lease_expires_at',
     'leases_expired_at',
     'may_begin_promotion',
@@ -251,10 +252,14 @@
     return grant.as_of
 
 
+def evidence_as_of(lease: PrimaryLease, now: float) -> float:
+    """Return the latest time at which this proxy was certainly counted."""
+    return max(lease.store_as_of, _peer_grants_as_of(lease, now))
+
+
 def lease_expires_at(lease: PrimaryLease, now: float) -> float:
     """Return when the present lease expires."""
-    as_of = max(lease.store_as_of, _peer_grants_as_of(lease, now))
-    return as_of + LEASE_DURATION_S - LEASE_MARGIN_S
+    return evidence_as_of(lease, now) + LEASE_DURATION_S - LEASE_MARGIN_S
 
 
 def may_use_primary(
--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -146,6 +146,8 @@
             BeginTransaction(transaction.read_only, placement.after),
             SETUP_TIMEOUT_S,
         )
+        if answer.kind not in NO_EFFECT:
+            call.session.ran = True
         if answer.kind is AnswerKind.COMPLETED:
             transaction.connection = connection
             transaction.placement = placement
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -29,6 +29,8 @@
 from toucandeald.probes import Probe
 from toucandeald.prometheus_metrics import PrometheusMetrics
 from toucandeald.promoter import Promoter
+from toucandeald.rate_admission import RateAdmission, busiest_workspaces
+from toucandeald.rate_coordination import RateCoordination
 from toucandeald.server_pools import ServerPools
 from toucandeald.server_reports import ServerReports
 from toucandeald.session_service import SessionService
@@ -86,6 +88,7 @@
     lending: Lending
     ports: FleetPorts
     recovery: StoreRecovery
+    rates: RateCoordination
 
 
 @contextlib.contextmanager
@@ -168,6 +171,7 @@
                 own,
                 first_start=settings.first_start,
             ),
+            _new_rates(reactor, tables, own, gossip, service),
         )
     finally:
         sockets.close()
@@ -181,6 +185,19 @@
     return Forwarding(reactor, tables, pools, confirmations, random.Random())
 
 
+def _new_rates(
+    reactor,
+    tables: FleetTables,
+    own: ProxyRecord,
+    gossip: Gossip,
+    service: SessionService,
+) -> RateCoordination:
+    rates = RateCoordination(reactor, tables, own, gossip.send)
+    gossip.on_rate_message = rates.received
+    service.rates = RateAdmission(tables, rates, service.fail_transaction)
+    return rates
+
+
 async def start_fleet(
     reactor, settings: FleetSettings, parts: FleetParts
 ) -> None:
@@ -263,6 +280,7 @@
     parts.moving.tick(now)
     parts.borrowing.tick(now)
     parts.lending.tick(now)
+    parts.rates.tick(now)
     if not parts.lifecycle_state.ready and _can_serve(parts.tables):
         parts.lifecycle.started()
 
@@ -285,8 +303,16 @@
     metrics.gauge('connections_lent', parts.lending.count)
     metrics.gauge('store_calls', parts.ports.store.calls)
     metrics.gauge('store_era', parts.state.era)
+    _set_rate_metrics(parts)
     counted = counted_proxies(parts.tables.primary_lease)
     metrics.gauge('proxies_counted', len(counted))
     configuration = parts.tables.configuration
     if configuration is not None:
         metrics.gauge('configuration_version', configuration.version)
+
+
+def _set_rate_metrics(parts: FleetParts) -> None:
+    parts.metrics.clear_rates()
+    admission = parts.service.rates
+    parts.metrics.list_rates('granted', busiest_workspaces(admission.granted))
+    parts.metrics.list_rates('refused', busiest_workspaces(admission.refused))
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -10,6 +10,7 @@
     LoanRequest,
     LoanReturn,
 )
+from toucandeald.rate_wire import RateGrant, RateReport
 
 __all__ = [
     'ConfigurationCopy',
@@ -118,4 +119,6 @@
     | BorrowedRequest
     | BorrowedAnswer
     | LoanReturn
+    | RateReport
+    | RateGrant
 )
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -34,6 +34,7 @@
 )
 from toucandeald.logs import log_event
 from toucandeald.peers import PeerSockets
+from toucandeald.rate_wire import RateGrant, RateReport
 from toucandeald.shared_records import proxy_key
 from toucandeald.shared_state import SharedState
 from toucandeald.shared_store import SharedRow
@@ -77,6 +78,7 @@
         self.on_lender_message: Callable[[LoanReply | BorrowedAnswer], None] = (
             _ignore
         )
+        self.on_rate_message: Callable[[RateReport | RateGrant], None] = _ignore
         self.none_begun_sent_at = steady_seconds()
         self._tables = tables
         self._state = state
@@ -158,6 +160,8 @@
                 self.on_borrower_message(message)
             case LoanReply() | BorrowedAnswer():
                 self.on_lender_message(message)
+            case RateReport() | RateGrant():
+                self.on_rate_message(message)
 
     def send_records(self) -> None:
         """Send the records to all peers without awaiting their heartbeats."""
--- a/packages/toucandeald/src/toucandeald/prometheus_metrics.py
+++ b/packages/toucandeald/src/toucandeald/prometheus_metrics.py
@@ -1,5 +1,7 @@
 """Counters, gauges and latency histograms in the Prometheus text format."""
 
+from collections.abc import Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.twisted import MetricsResource
 from twisted.web import resource
@@ -35,6 +37,12 @@
             ['name'],
             registry=self._registry,
         )
+        self._rates = Gauge(
+            'toucandeal_rate_operations',
+            'Operations of the busiest workspaces, by the rate limit',
+            ['workspace', 'outcome'],
+            registry=self._registry,
+        )
 
     @property
     def metrics_resource(self) -> resource.Resource:
@@ -46,6 +54,15 @@
         self._replies.labels(statement, outcome).inc()
         self._latency.labels(statement).observe(seconds)
 
+    def list_rates(self, outcome: str, counts: Mapping[str, int]) -> None:
+        """Show the numbers of operations by workspace."""
+        for workspace, count in counts.items():
+            self._rates.labels(workspace, outcome).set(count)
+
+    def clear_rates(self) -> None:
+        """Remove all workspaces, as other ones may be the busiest now."""
+        self._rates.clear()
+
     def gauge(self, name: str, level: float) -> None:
         """Set a gauge."""
         self._gauges.labels(name).set(level)
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/rate_coordination.py
@@ -0,0 +1,435 @@
+"""Rates of workspaces across all proxies: this proxy's tokens and votes."""
+
+import collections
+import math
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from toucandeal.fleet import ProxyRecord
+from toucandeal.fleet_tables import FleetTables
+from toucandeal.primary_lease import counted_proxies, may_begin_promotion
+from toucandeal.rate_balances import (
+    TOKEN_VALID_S,
+    Batch,
+    RateBalance,
+    add_tokens,
+    expected_use,
+    expire_tokens,
+    give_back_token,
+    held_tokens,
+    observe_use,
+    retry_delay,
+    take_returned,
+    take_token,
+)
+from toucandeal.rate_limits import (
+    VOTE_VALID_S,
+    coordinator_order,
+    shard_names,
+    workspace_shard,
+)
+from toucandeal.workspaces import Workspace
+from toucandeald.logs import log_event
+from toucandeald.rate_coordinator import (
+    PEER_LIVE_S,
+    RateCoordinator,
+    limited_workspaces,
+    rate_limit,
+)
+from toucandeald.rate_wire import RateGrant, RateReport
+from toucandeald.steady_clock import steady_seconds
+
+__all__ = ['RateCoordination']
+
+# A vote is valid for 0.5 s from the grant that it echoes, which must include
+# two intervals, the round trip and the delay of a timer.
+REPORT_INTERVAL_S = 0.2
+URGENT_INTERVAL_S = 0.005
+# Between two reports while the bucket is empty: the coordinator sends tokens
+# as they come, without further reports.
+SCARCE_INTERVAL_S = 0.05
+MAX_WAIT_S = 0.25
+COORDINATOR_SILENT_S = 0.4  # two reports without an answer
+MAX_TICK_GAP_S = 0.2  # ticks come every 0.05 s
+AVOIDED_S = 3.0  # by then its peers have marked a lost coordinator as silent
+
+Send = Callable[[str, RateReport | RateGrant], None]
+CountToken = Callable[[str, bool], None]
+
+
+class RateCoordination:
+    """The tokens that this proxy has, and its votes for coordinators."""
+
+    def __init__(
+        self, clock, tables: FleetTables, own: ProxyRecord, send: Send
+    ) -> None:
+        """Initialize with `send`, which takes an address and a message."""
+        self.on_decision: CountToken = _ignore
+        self._clock = clock
+        self._tables = tables
+        self._own = own
+        self._send = send
+        self._coordinator = RateCoordinator(clock, tables, own, self._send_to)
+        self._balances: dict[str, RateBalance] = {}
+        self._waiting: dict[str, collections.deque[_Waiter]] = {}
+        self._shards: dict[str, _Office] = {}
+        self._avoided: dict[str, float] = {}
+        # An earlier process of the same name may have voted until now.
+        self._voted_at = steady_seconds()
+        self._ticked_at = steady_seconds()
+        self._urgent_timer = None
+
+    def tick(self, now: float) -> None:
+        """Report to the coordinators, and fill this proxy's own buckets."""
+        limits = limited_workspaces(self._tables)
+        for name in self._balances.keys() - limits.keys():
+            self._balances.pop(name)
+            self._release_waiting(name)
+        if not limits:
+            return
+        self._coordinator.tick(now)
+        self._update_shards(now)
+        if now - self._ticked_at > MAX_TICK_GAP_S:
+            # This proxy was paused, so answers may still be in its queue.
+            for resumed in self._shards.values():
+                resumed.chosen_at = now
+        self._ticked_at = now
+        for shard, office in self._shards.items():
+            self._choose_coordinator(shard, office, now)
+            if now - office.reported_at >= REPORT_INTERVAL_S:
+                self._report(shard, office, self._balances)
+
+    def received(self, message: RateReport | RateGrant) -> None:
+        """Handle a message of a coordinator or of a proxy that reports."""
+        match message:
+            case RateReport():
+                self._coordinator.received(message)
+            case RateGrant():
+                self._apply_grant(message)
+
+    async def acquire(self, workspace: str, ends_at: float) -> float | None:
+        """Spend a token, waiting for one until `ends_at` at most.
+
+        Returns
+        -------
+        float or None
+            None if the operation may run, or the delay after which to retry.
+        """
+        limit = rate_limit(self._tables, workspace)
+        if limit is None:
+            return None
+        now = steady_seconds()
+        balance = self._balances.setdefault(workspace, RateBalance(now))
+        balance.uses += 1
+        balance.used_at = now
+        queued = self._waiting.get(workspace)
+        granted = not queued and take_token(balance, now)
+        if not granted:
+            granted = await self._wait(
+                workspace, min(ends_at, now + MAX_WAIT_S)
+            )
+        self.on_decision(workspace, granted)
+        if granted:
+            return None
+        return self._refuse(limit, balance)
+
+    def give_back(self, workspace: str) -> None:
+        """Return the token of an operation that did not run at a server."""
+        balance = self._balances.get(workspace)
+        if balance is not None:
+            give_back_token(balance, steady_seconds())
+            self._serve_waiting(workspace)
+
+    def _refuse(self, limit: Workspace, balance: RateBalance) -> float:
+        now = steady_seconds()
+        missing = len(self._waiting.get(limit.name, ())) + 1
+        office = self._shards.get(self._shard_of(limit.name))
+        log_event(
+            'over the rate limit',
+            workspace=limit.name,
+            limit=limit.rate_per_s,
+            wanted=missing + held_tokens(balance),
+            grant_age_s=office and round(now - office.answered_at, 3),
+        )
+        return retry_delay(missing, limit.rate_per_s)
+
+    def _wait(self, workspace: str, ends_at: float) -> defer.Deferred:
+        """Return a Deferred of whether a token has come by `ends_at`."""
+        now = steady_seconds()
+        waiter = _Waiter(defer.Deferred(), ends_at)
+        waiting = self._waiting.setdefault(workspace, collections.deque())
+        waiting.append(waiter)
+
+        def expire() -> None:
+            if waiter in waiting:
+                waiting.remove(waiter)
+                waiter.outcome.callback(False)
+
+        timer = self._clock.callLater(max(ends_at - now, 0), expire)
+
+        def cancel(granted: bool) -> bool:
+            if timer.active():
+                timer.cancel()
+            return granted
+
+        waiter.outcome.addCallback(cancel)
+        self._report_urgently(now)
+        return waiter.outcome
+
+    def _release_waiting(self, workspace: str) -> None:
+        """Let operations run that wait for a limit that is gone."""
+        waiting = self._waiting.pop(workspace, ())
+        while waiting:
+            waiting.popleft().outcome.callback(True)
+
+    def _serve_waiting(self, workspace: str) -> None:
+        waiting = self._waiting.get(workspace, ())
+        balance = self._balances[workspace]
+        while waiting and take_token(balance, steady_seconds()):
+            waiting.popleft().outcome.callback(True)
+
+    def _shard_of(self, workspace: str) -> str:
+        return workspace_shard(workspace, list(self._shards) or [''])
+
+    def _update_shards(self, now: float) -> None:
+        names = shard_names(len(counted_proxies(self._tables.primary_lease)))
+        if names == list(self._shards):
+            return
+        voted_at = max(
+            (office.voted_at for office in self._shards.values()),
+            default=self._voted_at,
+        )
+        self._shards = {name: _Office(voted_at) for name in names}
+
+    def _choose_coordinator(
+        self, shard: str, office: '_Office', now: float
+    ) -> None:
+        """Change the coordinator if another proxy comes first."""
+        heard_at = max(office.answered_at, office.chosen_at)
+        silent = now - heard_at > COORDINATOR_SILENT_S
+        if office.name and silent and office.name != self._own.name:
+            self._avoided[office.name] = now + AVOIDED_S
+        chosen = next(iter(coordinator_order(shard, self._candidates(now))), '')
+        if chosen != office.name:
+            log_event('rate coordinator', shard=shard, name=chosen)
+            office.name = chosen
+            office.chosen_at = now
+            office.reported_at = -math.inf
+            office.echo = None
+
+    def _candidates(self, now: float) -> list[str]:
+        """Return the live counted proxies that may coordinate."""
+        tables = self._tables
+        candidates = []
+        for name in counted_proxies(tables.primary_lease):
+            peer = tables.peers.get(name)
+            if name == tables.name:
+                live = not tables.draining
+            else:
+                live = (
+                    peer is not None
+                    and not peer.draining
+                    and now - peer.heard_at < PEER_LIVE_S
+                    and now >= self._avoided.get(name, -math.inf)
+                )
+            if live:
+                candidates.append(name)
+        return candidates
+
+    def _report_urgently(self, now: float) -> None:
+        """Report at once, or when the next report may be sent."""
+        if self._urgent_timer is not None:
+            return
+        due_at = min(
+            (
+                self._due_at(self._shards[shard], workspaces)
+                for shard, workspaces in self._waiting_by_shard().items()
+            ),
+            default=math.inf,
+        )
+        if due_at <= now:
+            self._report_waiting()
+        elif due_at < math.inf:
+            self._urgent_timer = self._clock.callLater(
+                due_at - now, self._report_waiting
+            )
+
+    def _report_waiting(self) -> None:
+        """Send the reports that are due for operations that wait."""
+        self._urgent_timer = None
+        now = steady_seconds()
+        for shard, workspaces in self._waiting_by_shard().items():
+            office = self._shards[shard]
+            if self._due_at(office, workspaces) <= now:
+                self._report(shard, office, workspaces)
+        if self._urgent_timer is None:
+            self._report_urgently(now)
+
+    def _waiting_by_shard(self) -> dict[str, list[str]]:
+        """Return the workspaces with waiting operations, by shard."""
+        by_shard: dict[str, list[str]] = {}
+        for workspace, waiting in self._waiting.items():
+            shard = self._shard_of(workspace)
+            if waiting and shard in self._shards:
+                by_shard.setdefault(shard, []).append(workspace)
+        return by_shard
+
+    def _due_at(self, office: '_Office', workspaces: list[str]) -> float:
+        """Return when to report for workspaces with waiting operations."""
+        if not office.name:
+            return math.inf
+        if office.unmet.keys() >= set(workspaces):
+            return office.reported_at + SCARCE_INTERVAL_S
+        return office.reported_at + URGENT_INTERVAL_S
+
+    def _report(
+        self, shard: str, office: '_Office', workspaces: Iterable[str]
+    ) -> None:
+        """Send a report, which is a vote if this proxy may vote now."""
+        if not office.name:
+            return
+        now = steady_seconds()
+        echo, incarnation = 0.0, 0
+        if office.echo is not None and self._may_vote(office, now):
+            echo, incarnation = office.echo
+            office.voted_at = now
+            office.voted_for = office.name
+        office.reported_at = now
+        wanted = {}
+        returned = {}
+        for name in workspaces:
+            if self._shard_of(name) == shard:
+                balance = self._balances[name]
+                wanted[name] = self._wanted(name, balance, now)
+                returned[name] = take_returned(
+                    balance, (office.name, office.incarnation)
+                )
+        office.unmet = _positive(wanted)
+        self._send_to(
+            office.name,
+            self._address(office.name),
+            RateReport(
+                self._own.name,
+                self._own.incarnation,
+                self._own.address,
+                shard,
+                echo,
+                incarnation,
+                now,
+                _positive(wanted),
+                _positive(returned),
+            ),
+        )
+
+    def _wanted(self, workspace: str, balance: RateBalance, now: float) -> int:
+        """Return how many tokens to request for a workspace."""
+        expire_tokens(balance, now)
+        observe_use(balance, now)
+        limit = rate_limit(self._tables, workspace)
+        if limit is None:
+            return 0
+        proxies = len(counted_proxies(self._tables.primary_lease))
+        needed = len(self._waiting.get(workspace, ())) + expected_use(
+            balance, limit, proxies, now
+        )
+        return max(needed - held_tokens(balance), 0)
+
+    def _may_vote(self, office: '_Office', now: float) -> bool:
+        """Return whether no other vote of this proxy can be valid.
+
+        Proxies that do not count this one would divide the limit among fewer.
+        """
+        changed = office.voted_for != office.name
+        if changed and now - office.voted_at < VOTE_VALID_S:
+            return False
+        counted_by = {
+            peer.name
+            for peer in self._tables.peers.values()
+            if peer.counts_this_proxy
+        }
+        return may_begin_promotion(self._tables.primary_lease, counted_by, now)
+
+    def _apply_grant(self, grant: RateGrant) -> None:
+        now = steady_seconds()
+        office = self._shards.get(grant.shard)
+        if office is not None and office.name == grant.sender:
+            office.apply(grant, now)
+            if grant.released:
+                self._avoided[grant.sender] = now + AVOIDED_S
+        grantor = (grant.sender, grant.incarnation)
+        expires_at = grant.report_sent_at + TOKEN_VALID_S
+        for workspace, tokens in grant.tokens.items():
+            balance = self._balances.get(workspace)
+            if balance is not None:
+                add_tokens(balance, Batch(expires_at, tokens, grantor))
+                self._serve_waiting(workspace)
+        self._report_urgently(now)
+
+    def _address(self, name: str) -> str:
+        peer = self._tables.peers.get(name)
+        if peer is not None:
+            return peer.address
+        return self._tables.primary_lease.registered[name].address
+
+    def _send_to(
+        self, name: str, address: str, message: RateReport | RateGrant
+    ) -> None:
+        if name == self._own.name:
+            self.received(message)
+        else:
+            self._send(address, message)
+
+
+class _Waiter(NamedTuple):
+    outcome: defer.Deferred
+    ends_at: float
+
+
+class _Office:
+    """The coordinator of one shard, as this proxy knows it.
+
+    `unmet` is what the last report requested and grants have not brought.
+    `voted_at` is the time of the last vote, which went to `voted_for`.
+    """
+
+    def __init__(self, voted_at: float) -> None:
+        """Start without a coordinator."""
+        self.name = ''
+        self.voted_for = ''
+        self.voted_at = voted_at
+        self.chosen_at = -math.inf
+        self.reported_at = -math.inf
+        self.answered_at = -math.inf
+        self.unmet: dict[str, int] = {}
+        self.echo: tuple[float, int] | None = None
+        self.incarnation = 0
+
+    def apply(self, grant: RateGrant, now: float) -> None:
+        """Record a grant of the coordinator."""
+        self.answered_at = now
+        self.incarnation = grant.incarnation
+        if grant.report_sent_at == self.reported_at:
+            for workspace, tokens in grant.tokens.items():
+                self.unmet[workspace] = self.unmet.get(workspace, 0) - tokens
+            self.unmet = _positive(self.unmet)
+        is_later = (
+            self.echo is None
+            or self.echo[1] != grant.incarnation
+            or grant.sent_at > self.echo[0]
+        )
+        if grant.released:
+            self.echo = None
+            if self.voted_for == grant.sender:
+                self.voted_at = -math.inf
+        elif is_later:
+            self.echo = (grant.sent_at, grant.incarnation)
+
+
+def _positive(counts: dict[str, int]) -> dict[str, int]:
+    return {name: count for name, count in counts.items() if count > 0}
+
+
+def _ignore(workspace: str, granted: bool) -> None:
+    """Ignore a decision."""
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -4,6 +4,7 @@
 are forwarded to servers.
 """
 
+import functools
 import itertools
 
 from toucandeal.caller_sessions import (
@@ -16,6 +17,7 @@
 from toucandeald.forwarding import Forwarding
 from toucandeald.logs import log_event
 from toucandeald.prometheus_metrics import PrometheusMetrics
+from toucandeald.rate_admission import RateAdmission
 from toucandeald.replies import DEFAULT_RETRY_AFTER_S, reply, unknown_database
 from toucandeald.session_messages import CallerReply, ReplyKind
 from toucandeald.steady_clock import steady_seconds
@@ -39,6 +41,7 @@
         self.connections: set = set()
         self.sessions: dict[int, CallerSession] = {}
         self.closing_idle = False
+        self.rates: RateAdmission | None = None  # set by the composition root
         self._tables = tables
         self._forwarding = forwarding
         self._metrics = metrics
@@ -122,6 +125,10 @@
             )
         return answer
 
+    def fail_transaction(self, session: CallerSession, reason: str) -> None:
+        """Roll a session's transaction back, if it has one."""
+        self._forwarding.transactions.fail(session, reason)
+
     def has_work_at_primary(self, group: str) -> bool:
         """Return whether this proxy has open work at a group's primary."""
         return self._forwarding.primary_work.is_under_way(group) or any(
@@ -172,9 +179,12 @@
             return self._begin(session, statement, began_at)
         if statement.verb in LOCAL_STATEMENTS:
             return _change_session(session, statement)
-        return await self._forwarding.forward(
-            session, identity, statement, began_at
+        forward = functools.partial(
+            self._forwarding.forward, session, identity, statement, began_at
         )
+        if self.rates is None:
+            return await forward()
+        return await self.rates.run(session, statement, began_at, forward)
 
     def _after_failure(
         self, session: CallerSession, statement: Statement
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -184,6 +184,8 @@
         answer = await self._context.pools.call(
             server, connection, request, timeout_s
         )
+        if answer.kind not in NO_EFFECT:
+            call.session.ran = True
         if answer.kind is AnswerKind.UNKNOWN_STATEMENT:
             connection.connection_state.shapes.clear()
         if answer.in_transaction:
