--- a/packages/toucandeal/src/toucandeal/rate_balances.py
+++ b/packages/toucandeal/src/toucandeal/rate_balances.py
@@ -18,6 +18,7 @@
     'RateBalance',
     'add_tokens',
     'expected_use',
+    'expire_surplus',
     'expire_tokens',
     'give_back_token',
     'held_tokens',
@@ -31,7 +32,7 @@
 FORECAST_S = 0.5
 USED_RECENTLY_S = 5.0
 IDLE_SHARE = 0.5  # of a limit, which may be held unused by all proxies
-AVERAGE_TIME_S = 0.5  # time constant of the moving average of use
+AVERAGE_TIME_S = 1.0  # below, one operation would make the forecast 1
 MAX_RETRY_DELAY_S = 10.0  # for rates near 0
 
 
@@ -98,6 +99,25 @@
         balance.spent.popleft()
 
 
+def expire_surplus(balance: RateBalance, needed: int) -> None:
+    """Move the tokens beyond those `needed` to `expired`, the oldest first.
+
+    Without this, a token for an operation that no longer waits would be
+    missing at other proxies until it expires.
+    """
+    surplus = held_tokens(balance) - needed
+    while surplus > 0:
+        batch = balance.batches.pop(0)
+        count = min(batch.tokens, surplus)
+        surplus -= count
+        grantor = batch.grantor
+        balance.expired[grantor] = balance.expired.get(grantor, 0) + count
+        if batch.tokens > count:
+            balance.batches.insert(
+                0, batch._replace(tokens=batch.tokens - count)
+            )
+
+
 def held_tokens(balance: RateBalance) -> int:
     """Return how many tokens are unused."""
     return sum(batch.tokens for batch in balance.batches)
@@ -144,6 +164,14 @@
 
     Tokens of earlier coordinators are dropped: their buckets are gone or are
     filled by the votes that they still have.
+
+    Examples
+    --------
+    >>> balance = RateBalance(0.0)
+    >>> add_tokens(balance, Batch(0.5, 3, ('p1', 7)))
+    >>> expire_surplus(balance, 1)
+    >>> take_returned(balance, ('p1', 7)), held_tokens(balance)
+    (2, 1)
     """
     returned = balance.expired.pop(grantor, 0)
     balance.expired.clear()
@@ -159,7 +187,7 @@
     >>> balance.uses = 10
     >>> observe_use(balance, 0.5)
     >>> round(balance.use_per_s, 1)
-    12.6
+    7.9
     """
     elapsed_s = now - balance.observed_at
     if elapsed_s <= 0:
--- a/packages/toucandeal/src/toucandeal/rate_limits.py
+++ b/packages/toucandeal/src/toucandeal/rate_limits.py
@@ -45,9 +45,10 @@
 # A new coordinator starts with as many; two of them fit the documented slack.
 INITIAL_TOKENS = 10.0
 FULL_INITIAL_WEIGHT = 0.5  # at most two coordinators have as many votes
-# Tokens between two divisions must fit a bucket whose burst is very small.
-DIVISION_ROOM_S = 0.02
-MAX_DIVISION_ROOM = 5.0  # with INITIAL_TOKENS within the documented slack
+# A bucket whose burst is very small must hold a whole token and what comes
+# between two divisions, which are 0.01 s apart.
+DIVISION_ROOM_S = 0.03
+MAX_DIVISION_ROOM = 10.0  # more would exceed the documented slack
 # A token is valid for 0.5 s, and is reported as unused at most 0.25 s later.
 CREDIT_LIMIT_S = 1.0
 PEAK_INTERVAL_S = 0.05  # the resolution of the levels that are remembered
@@ -195,17 +196,16 @@
     >>> bucket_capacity(limit, 0.0)
     10.0
     >>> bucket_capacity(limit._replace(burst=0.0), 0.5)
-    1.0
+    1.75
     """
     initial = min(limit.burst, INITIAL_TOKENS)
     if weight <= 0:
         return initial
-    room = min(limit.rate_per_s * DIVISION_ROOM_S, MAX_DIVISION_ROOM)
+    room = min(limit.rate_per_s * DIVISION_ROOM_S, MAX_DIVISION_ROOM - 1)
     return max(
         limit.burst * weight,
         initial * min(weight / FULL_INITIAL_WEIGHT, 1),
-        room * weight,
-        1,
+        room * weight + 1,
     )
 
 
--- a/packages/toucandeald/src/toucandeald/rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordination.py
@@ -16,6 +16,7 @@
     RateBalance,
     add_tokens,
     expected_use,
+    expire_surplus,
     expire_tokens,
     give_back_token,
     held_tokens,
@@ -51,6 +52,7 @@
 # as they come, without further reports.
 SCARCE_INTERVAL_S = 0.05
 MAX_WAIT_S = 0.25
+SURPLUS_FACTOR = 2  # of the tokens needed; more are returned unused
 COORDINATOR_SILENT_S = 0.4  # two reports without an answer
 MAX_TICK_GAP_S = 0.2  # ticks come every 0.05 s
 AVOIDED_S = 3.0  # by then its peers have marked a lost coordinator as silent
@@ -165,6 +167,7 @@
         def expire() -> None:
             if waiter in waiting:
                 waiting.remove(waiter)
+                self._withdraw(workspace)
                 waiter.outcome.callback(False)
 
         timer = self._clock.callLater(max(ends_at - now, 0), expire)
@@ -178,6 +181,19 @@
         self._report_urgently(now)
         return waiter.outcome
 
+    def _withdraw(self, workspace: str) -> None:
+        """Report at once that no operation of a workspace waits any more.
+
+        Otherwise tokens that others wait for would be granted to this proxy.
+        """
+        shard = self._shard_of(workspace)
+        office = self._shards.get(shard)
+        if office is None or self._waiting[workspace]:
+            return
+        if workspace in office.unmet:
+            waiting = self._waiting_by_shard().get(shard, [])
+            self._report(shard, office, [*waiting, workspace])
+
     def _release_waiting(self, workspace: str) -> None:
         """Let operations run that wait for a limit that is gone."""
         waiting = self._waiting.pop(workspace, ())
@@ -334,6 +350,7 @@
         needed = len(self._waiting.get(workspace, ())) + expected_use(
             balance, limit, proxies, now
         )
+        expire_surplus(balance, SURPLUS_FACTOR * needed)
         return max(needed - held_tokens(balance), 0)
 
     def _may_vote(self, office: '_Office', now: float) -> bool:
--- a/packages/toucandeald/src/toucandeald/rate_coordinator.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordinator.py
@@ -34,12 +34,15 @@
 
 # A proxy that its peers may have marked as silent, after 2.5 s, grants none.
 EVIDENCE_VALID_S = 2.0
-# A proxy marked as silent may grant tokens until its evidence has expired.
-SILENT_COUNTS_S = EVIDENCE_VALID_S
-DIVISION_INTERVAL_S = 0.02  # of tokens that come while proxies wait for them
+# A proxy that is marked as silent may not know it, and vote and grant tokens,
+# for as long: proxies learn of a changed membership up to 3 s apart.
+SILENT_COUNTS_S = 3.5
+DIVISION_INTERVAL_S = 0.01  # of tokens that come while proxies wait for them
 FILL_INTERVAL_S = 0.2  # of buckets that are not used
 VIEW_VALID_S = 0.02  # of the counted proxies, instead of once for each report
-UNMET_VALID_S = 0.3  # operations wait 0.25 s for a token
+# Two reports of a proxy with waiting operations. Tokens granted later would
+# be held where no operation waits any more.
+UNMET_VALID_S = 0.1
 PEER_LIVE_S = 1.0
 
 Send = Callable[[str, str, RateGrant], None]
