--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -12,6 +12,7 @@
     LoanRequest,
     LoanReturn,
 )
+from toucandeald.rate_wire import RateGrant, RateReport
 
 __all__ = [
     'ConfigurationCopy',
@@ -123,4 +124,6 @@
     | BorrowedRequest
     | BorrowedAnswer
     | LoanReturn
+    | RateReport
+    | RateGrant
 )
