--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -219,9 +219,9 @@
     parts.shutdown.listening = await parts.ports.listen(
         reactor, settings.listen_sessions, parts.service
     )
-    parts.state.start()
     if settings.revocation_limit_s is not None:
         FreshnessCalls(reactor, parts.tables, parts.state).start()
+    parts.state.start()
     call_every(HEARTBEAT_INTERVAL_S, parts.gossip.send_heartbeats)
     call_every(TICK_S, lambda: _tick(parts))
     call_every(MAINTENANCE_INTERVAL_S, lambda: _run_maintenance(parts))
