--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_load_model.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_load_model.py
@@ -99,6 +99,16 @@
     assert late <= 0.03 * len(others)
 
 
+def test_a_burst_of_one_workspace_does_not_delay_the_others():
+    # Guards against connections that are opened so often, or divided so
+    # unevenly, that workspaces make each other late.
+    result = _simulated('workspaces')
+    others = [each for each in result.operations if each.member != 2]
+    late = sum(each.outcome != 'in time' for each in others)
+    assert late <= 0.02 * len(others)
+    assert _all(result).earned >= 0.97
+
+
 def test_high_priority_operations_earn_more_under_overload():
     result = _simulated('overload')
     assert _kind(result, 'booking').earned > _kind(result, 'log').earned
--- a/packages/toucandeal/src/toucandeal/connection_shares.py
+++ b/packages/toucandeal/src/toucandeal/connection_shares.py
@@ -21,7 +21,12 @@
 DEMAND_DECAY = 0.9  # each maintenance interval, 0.25 s; half-life 1.6 s
 
 
-def connection_share(limit: int, demands: Mapping[str, float], own: str) -> int:
+def connection_share(
+    limit: int,
+    demands: Mapping[str, float],
+    own: str,
+    reserved_share: float = RESERVED_SHARE,
+) -> int:
     """Return how many connections the proxy `own` may open to a server.
 
     Parameters
@@ -32,6 +37,8 @@
         Connections that each live proxy could use.
     own : str
         The proxy's name.
+    reserved_share : float
+        Part of the limit that is not divided.
 
     Examples
     --------
@@ -43,7 +50,7 @@
     >>> connection_share(16, even | {'p1': 9}, 'p2')
     1
     """
-    usable = int(limit * (1 - RESERVED_SHARE))
+    usable = int(limit * (1 - reserved_share))
     proxy_count = max(len(demands), 1)
     equal_part = usable * EQUAL_SHARE / proxy_count
     total = sum(demands.values())
--- a/packages/toucandeal/src/toucandeal/tests/test_statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_statement_queue.py
@@ -18,9 +18,11 @@
 SERVICE = ServiceRate(2, 0.02)
 
 
-def _enter(queue, identity, priority=1, database='a', late_at=5.0):
+def _enter(
+    queue, identity, priority=1, database='a', late_at=5.0, workspace=''
+):
     connection_request = ConnectionRequest(
-        priority, database, late_at, late_at + 1
+        priority, database, late_at, late_at + 1, workspace
     )
     statement = WaitingStatement(connection_request, identity)
     enter(queue, statement)
@@ -111,3 +113,45 @@
     assert sorted(order) == list(range(len(entries)))
     late = [entries[identity][2] <= now for identity in order]
     assert late == sorted(late) and not queue
+
+
+def test_a_busy_workspace_with_many_databases_does_not_delay_another():
+    # Guards against a workspace that multiplies its share by its databases.
+    queue = StatementQueue()
+    for number in range(20):
+        _enter(queue, number, database=f'd{number}', workspace='busy')
+    for number in range(100, 105):
+        _enter(queue, number, database='d', late_at=8.0, workspace='quiet')
+    served = _served(queue, 0.0, 10)
+    assert sum(identity >= 100 for identity in served) == 5
+
+
+def test_databases_share_within_a_workspace():
+    # Guards against one database of a workspace that delays the others.
+    queue = StatementQueue()
+    for number in range(10):
+        _enter(queue, number, database='busy', late_at=1.0, workspace='w')
+    _enter(queue, 99, database='quiet', late_at=4.0, workspace='w')
+    assert 99 in _served(queue, 0.0, 2)
+
+
+def test_only_statements_of_a_workspace_are_next_for_its_connection():
+    # Guards against a released connection that serves another workspace.
+    queue = StatementQueue()
+    _enter(queue, 1, priority=0, workspace='a')
+    _enter(queue, 2, priority=2, workspace='b')
+    assert next_statement(queue, 0.0, 'b').identity == 2
+    assert next_statement(queue, 0.0, 'c') is None
+    _enter(queue, 3, priority=-1, workspace=None)
+    assert next_statement(queue, 0.0, 'c').identity == 3
+
+
+def test_a_backlog_of_one_workspace_does_not_refuse_another():
+    # Guards against an expected wait that counts statements which fair
+    # queueing serves later.
+    queue = StatementQueue()
+    for number in range(100):
+        _enter(queue, number, late_at=1.0, workspace='busy')
+    request = ConnectionRequest(1, 'd', 1.5, 1.9, 'quiet')
+    assert is_worth_waiting(queue, request, SERVICE, 1.0)
+    assert expected_wait_s(queue, request, SERVICE, 1.0) == 0.02
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -288,11 +288,15 @@
             return
         demands = self._demands(pool.server)
         limit = declared.connection_limit
-        pool.limit = connection_share(
-            lendable(limit) if pool.divided else limit,
-            demands,
-            self._tables.name,
-        )
+        own = self._tables.name
+        if pool.divided:
+            # The rest is free, so nothing has to be reserved for views of the
+            # demand that differ.
+            pool.limit = connection_share(
+                lendable(limit), demands, own, reserved_share=0
+            )
+        else:
+            pool.limit = connection_share(limit, demands, own)
 
     def _demands(self, server: Server) -> dict[str, float]:
         """Return the demand for a server's connections at each lender."""
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -13,6 +13,7 @@
 )
 from toucandeal.fleet import Statement, Verb
 from toucandeal.fleet_tables import FleetTables
+from toucandeal.workspaces import key_digest
 from toucandeald.forwarding import Forwarding
 from toucandeald.logs import log_event
 from toucandeald.prometheus_metrics import PrometheusMetrics
@@ -88,8 +89,13 @@
                 reason=f'database {database!r} is not declared; ask an '
                 'operator for a route with this name',
             )
-        del user
-        session = CallerSession(next(self._identities), database)
+        digest = key_digest(user) if configuration.workspaces else b''
+        session = CallerSession(
+            next(self._identities),
+            database,
+            digest,
+            configuration.key_workspaces.get(digest, ''),
+        )
         self.sessions[session.identity] = session
         return session
 
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/tests/test_workspace_loans.py
@@ -0,0 +1,274 @@
+"""Loans of connections where there are workspaces."""
+
+import itertools
+
+import pytest
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from toucandeal.caller_sessions import CallerSession, ConnectionState
+from toucandeal.fleet import (
+    FleetConfiguration,
+    InteractiveGroup,
+    ProxyRecord,
+    Server,
+)
+from toucandeal.fleet_tables import FleetTables, PeerView
+from toucandeal.lending import domain_lenders
+from toucandeal.statement_queue import ConnectionRequest
+from toucandeal.workspaces import Workspace
+from toucandeald.borrowing import (
+    LENDER_SILENT_S,
+    OPEN_DIRECTLY,
+    BorrowedConnection,
+    Borrowing,
+)
+from toucandeald.lending import Lending
+from toucandeald.lending_wire import BorrowedAnswer, LoanReply
+from toucandeald.server_pools import ServerPools
+from toucandeald.session_messages import (
+    AnswerKind,
+    ReportStatus,
+    RollBack,
+    ServerAnswer,
+)
+from toucandeald.steady_clock import virtual_time
+
+SERVER = Server('i-1', 'g', '10.0.0.1:80', 'z1', 2, False, True)
+DONE = ServerAnswer(AnswerKind.COMPLETED, ['x'], 'signed', '')
+NAMES = ('p1', 'p2', 'p3', 'p4', 'p5', 'p6')
+DOMAINS = {name: f'z{number % 2}' for number, name in enumerate(NAMES)}
+LIMIT = 70
+DELAY_S = 0.001
+WORKSPACES = ('a', 'b', 'c', 'd', 'e')
+
+
+class StubConnection:
+    """A server connection that answers at once."""
+
+    borrowed = False
+
+    def __init__(self, workspace):
+        self.workspace = workspace
+        self.connection_state = ConnectionState()
+        self.usable = True
+
+    def call(self, request, timeout_s):
+        """Answer a request."""
+        del request, timeout_s
+        return defer.succeed(DONE)
+
+    def close(self):
+        """Make the connection unusable."""
+        self.usable = False
+
+
+class ModelProxy:
+    """A proxy's pools, loans and tables."""
+
+    def __init__(self, fleet, name, incarnation=1):
+        self.fleet = fleet
+        self.record = ProxyRecord(
+            name, incarnation, name, failure_domain=DOMAINS[name]
+        )
+        self.tables = FleetTables(name, DOMAINS[name])
+        self.tables.servers['i-1'] = SERVER
+        self.tables.configuration = FleetConfiguration(
+            1,
+            {},
+            {'g': InteractiveGroup('g', LIMIT)},
+            1.0,
+            {workspace: Workspace(workspace) for workspace in WORKSPACES},
+        )
+        self.tables.primary_lease.registered = {
+            each: ProxyRecord(each, 1, each, failure_domain=DOMAINS[each])
+            for each in NAMES
+        }
+        self.borrowing = Borrowing(fleet.clock, self.tables, self.record)
+        self.borrowing.send = self.send
+        self.pools = ServerPools(
+            fleet.clock, self.tables, self.open, self.borrowing
+        )
+        self.lending = Lending(self.tables, self.pools, self, self.record)
+
+    async def open(self, server, workspace, timeout_s):
+        """Open a connection of a workspace."""
+        del server, timeout_s
+        self.fleet.opened.append((self.tables.name, workspace))
+        return StubConnection(workspace)
+
+    def send(self, address, message):
+        """Deliver a message to a proxy that runs, after a delay."""
+        self.fleet.clock.callLater(DELAY_S, self._deliver, address, message)
+
+    def _deliver(self, address, message):
+        other = self.fleet.proxies.get(address)
+        if other is None or self.tables.name not in self.fleet.proxies:
+            return
+        if isinstance(message, LoanReply | BorrowedAnswer):
+            other.borrowing.received(message)
+        else:
+            other.lending.received(message)
+
+    def acquire(self, workspace):
+        """Return a connection of a workspace, or None."""
+        results = []
+        ends_at = self.fleet.clock.seconds() + 1
+        session = CallerSession(1, 'db', workspace=workspace)
+        request = ConnectionRequest(1, 'db', ends_at, ends_at, workspace)
+        acquiring = defer.ensureDeferred(
+            self.pools.acquire(SERVER, session, [], request)
+        )
+        acquiring.addCallback(results.append)
+        self.fleet.deliver_messages()
+        return results[0]
+
+
+class ModelFleet:
+    """Proxies in two failure domains."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.opened = []
+        self.proxies = {}
+        for name in NAMES:
+            self.proxies[name] = ModelProxy(self, name)
+        self.exchange_heartbeats()
+        for proxy in self.proxies.values():
+            proxy.pools.update_pools()
+
+    def deliver_messages(self):
+        """Let the messages of a loan arrive."""
+        self.clock.pump(itertools.repeat(DELAY_S, 5))
+
+    def exchange_heartbeats(self):
+        """Record a heartbeat of each running proxy at the others now."""
+        now = self.clock.seconds()
+        for proxy in self.proxies.values():
+            for name, other in self.proxies.items():
+                if other is not proxy:
+                    proxy.tables.peers[name] = PeerView(
+                        name,
+                        other.record.incarnation,
+                        name,
+                        now,
+                        False,
+                        True,
+                        {},
+                        failure_domain=DOMAINS[name],
+                    )
+
+    def advance(self, seconds):
+        """Let time pass, with heartbeats."""
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            self.exchange_heartbeats()
+            for proxy in self.proxies.values():
+                proxy.borrowing.tick(self.clock.seconds())
+                proxy.lending.tick(self.clock.seconds())
+
+
+@pytest.fixture
+def fleet():
+    """Return a fleet in virtual time."""
+    clock = Clock()
+    with virtual_time(clock.seconds):
+        yield ModelFleet(clock)
+
+
+def _lenders():
+    return domain_lenders('i-1', DOMAINS, LIMIT)
+
+
+def _borrower(fleet):
+    return next(
+        proxy for name, proxy in fleet.proxies.items() if name not in _lenders()
+    )
+
+
+def test_loans_are_of_the_workspace_that_asked(fleet):
+    # Guards against a lender that grants a connection of another workspace.
+    borrower = _borrower(fleet)
+    for workspace in WORKSPACES:
+        connection = borrower.acquire(workspace)
+        assert isinstance(connection, BorrowedConnection)
+        lender = connection.lender
+        assert (lender, workspace) in fleet.opened
+        assert DOMAINS[lender] == borrower.tables.failure_domain
+    assert sorted(workspace for _, workspace in fleet.opened) == list(
+        WORKSPACES
+    )
+
+
+def test_a_returned_connection_is_lent_to_its_workspace_only(fleet):
+    # Guards against a lender's idle connection that serves any borrower.
+    borrower = _borrower(fleet)
+    first = borrower.acquire('a')
+    borrower.pools.release(SERVER, first)
+    borrower.pools.release(SERVER, borrower.acquire('a'))
+    assert [workspace for _, workspace in fleet.opened] == ['a']
+    borrower.pools.release(SERVER, borrower.acquire('b'))
+    assert [workspace for _, workspace in fleet.opened] == ['a', 'b']
+
+
+def test_a_lender_opens_connections_directly(fleet):
+    # Guards against lenders that borrow from each other.
+    lender = fleet.proxies[_lenders()[0]]
+    assert lender.borrowing.source(SERVER, 'a') == OPEN_DIRECTLY
+    assert lender.acquire('a').workspace == 'a'
+
+
+def test_a_dead_lender_is_replaced_by_the_other_one_of_the_domain(fleet):
+    # Guards against a workspace that waits for its dead lender.
+    borrower = _borrower(fleet)
+    lost = borrower.acquire('a')
+    answers = []
+    del fleet.proxies[lost.lender]
+    lost.call(RollBack(), 5.0).addCallback(answers.append)
+    fleet.advance(LENDER_SILENT_S + 0.1)
+    assert answers[0].kind is AnswerKind.LOST and not lost.usable
+    next_connection = borrower.acquire('a')
+    assert next_connection.lender != lost.lender
+    near = DOMAINS[next_connection.lender]
+    assert near == borrower.tables.failure_domain
+
+
+def test_lenders_of_another_domain_lend_if_none_of_the_own_is_live(fleet):
+    # Guards against a domain without service after the loss of both lenders.
+    borrower = _borrower(fleet)
+    own_domain = borrower.tables.failure_domain
+    for lender in _lenders():
+        if DOMAINS[lender] == own_domain:
+            del fleet.proxies[lender]
+    fleet.advance(LENDER_SILENT_S + 0.1)
+    assert DOMAINS[borrower.acquire('a').lender] != own_domain
+
+
+def test_a_restarted_lender_ends_the_request_and_lends_again(fleet):
+    # Guards against a loan of the earlier incarnation that is answered, or
+    # that stays in use at the borrower.
+    borrower = _borrower(fleet)
+    old = borrower.acquire('a')
+    fleet.proxies[old.lender] = ModelProxy(fleet, old.lender, incarnation=2)
+    fleet.exchange_heartbeats()
+    answers = []
+    old.call(RollBack(), 0.3).addCallback(answers.append)
+    fleet.advance(0.5)
+    assert answers[0].kind is AnswerKind.LOST and not old.usable
+    assert borrower.acquire('a').usable
+
+
+def test_a_report_uses_a_connection_of_any_workspace(fleet):
+    # Guards against a report that opens a connection, or fails, although the
+    # lender holds idle ones.
+    borrower = _borrower(fleet)
+    connection = borrower.acquire('a')
+    lender = fleet.proxies[connection.lender]
+    borrower.pools.release(SERVER, connection)
+    fleet.deliver_messages()
+    answers = []
+    querying = defer.ensureDeferred(
+        lender.pools.query(SERVER, ReportStatus(), 0.3)
+    )
+    querying.addCallback(answers.append)
+    assert answers == [DONE] and len(fleet.opened) == 1
