--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
@@ -20,6 +20,7 @@
     record_store_read,
     renew_from_peer,
 )
+from toucandeal.rate_limits import coordinator_order
 from toucandeal.store_versions import NO_VERSION
 from toucandeal.workspaces import Workspace
 from toucandeal_standins.load_model.virtual_clock import VirtualClock
@@ -134,10 +135,12 @@
         outcome = defer.ensureDeferred(
             self.rates.acquire(workspace, self.clock.seconds() + OBJECTIVE_S)
         )
-        outcome.addCallback(self._decided, workspace)
+        outcome.addCallback(
+            self._decided, workspace, self._fleet.clock.seconds()
+        )
 
-    def _decided(self, delay_s, workspace: str) -> None:
-        self._fleet.decided(workspace, delay_s)
+    def _decided(self, delay_s, workspace: str, began_at: float) -> None:
+        self._fleet.decided(workspace, delay_s, began_at)
 
     def _tick(self) -> None:
         self.rates.tick(self.clock.seconds())
@@ -226,12 +229,13 @@
         self.registry: dict[str, ProxyRecord] = {}
         self.version = 0
         self.configuration = None
-        self.limits_since: list[tuple[float, dict[str, Workspace]]] = []
         self.set_limits(workspaces)
         self.cut: set[tuple[str, str]] = set()
         self.lost_share = 0.0
         self.max_delay_s = DELAY_S
         self.messages = 0
+        self.rate_messages = 0
+        self.waited_s: collections.Counter = collections.Counter()
         self.ran: dict[str, list[float]] = collections.defaultdict(list)
         self.refused: collections.Counter = collections.Counter()
         self.requested: collections.Counter = collections.Counter()
@@ -249,7 +253,6 @@
         self.configuration = FleetConfiguration(
             self.version, {}, {}, 30.0, limits
         )
-        self.limits_since.append((self.clock.seconds(), limits))
 
     def start(self, name: str) -> None:
         """Start a proxy, or kill it and start it again."""
@@ -277,6 +280,8 @@
     def carry(self, sender: str, recipient: str, message) -> None:
         """Deliver a message, unless it is lost, after a random delay."""
         self.messages += 1
+        if not isinstance(message, Beat):
+            self.rate_messages += 1
         if (sender, recipient) in self.cut:
             return
         if self.generator.random() < self.lost_share:
@@ -289,8 +294,11 @@
         if proxy is not None:
             proxy.clock.run(proxy.receive, message)
 
-    def decided(self, workspace: str, delay_s: float | None) -> None:
+    def decided(
+        self, workspace: str, delay_s: float | None, began_at: float
+    ) -> None:
         """Count an operation that runs or is refused."""
+        self.waited_s[workspace] += self.clock.seconds() - began_at
         if delay_s is None:
             self.ran[workspace].append(self.clock.seconds())
         else:
@@ -314,6 +322,12 @@
                 proxy.clock.run(proxy.request, workspace)
         self._owed[key] = owed
 
+    def coordinator(self, name: str) -> str:
+        """Return the coordinator of the first shard as a proxy sees it."""
+        proxy = self.proxies[name]
+        candidates = counted_proxies(proxy.tables.primary_lease)
+        return coordinator_order('0/1', candidates)[0]
+
     def count_since(self, workspace: str, since: float) -> int:
         """Return how many operations have run since a time."""
         return sum(at >= since for at in self.ran[workspace])
