--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
@@ -86,7 +86,8 @@
     def resume(self) -> None:
         """Make the calls that are late."""
         self.paused = False
-        late, self._late = self._late, []
+        late = self._late
+        self._late = []
         for function, arguments in late:
             self.run(function, *arguments)
 
@@ -326,7 +327,7 @@
         """Return the coordinator of the first shard as a proxy sees it."""
         proxy = self.proxies[name]
         candidates = counted_proxies(proxy.tables.primary_lease)
-        return coordinator_order('0/1', candidates)[0]
+        return next(iter(coordinator_order('0/1', candidates)), name)
 
     def count_since(self, workspace: str, since: float) -> int:
         """Return how many operations have run since a time."""
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
@@ -37,9 +37,7 @@
     fleet.run(3)
     used = [only] if only else names
     for name in used:
-        fleet.demand[name, limit.name] = (
-            factor * limit.rate_per_s / len(used)
-        )
+        fleet.demand[name, limit.name] = factor * limit.rate_per_s / len(used)
     return fleet
 
 
