--- a/packages/toucandeald/src/toucandeald/rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordination.py
@@ -9,7 +9,7 @@
 
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables
-from toucandeal.primary_lease import counted_proxies, may_begin_promotion
+from toucandeal.primary_lease import counted_proxies
 from toucandeal.rate_balances import (
     TOKEN_VALID_S,
     Batch,
@@ -25,20 +25,14 @@
     take_returned,
     take_token,
 )
-from toucandeal.rate_limits import (
-    VOTE_VALID_S,
-    coordinator_order,
-    shard_names,
-    workspace_shard,
-)
 from toucandeal.workspaces import Workspace
 from toucandeald.logs import log_event
 from toucandeald.rate_coordinator import (
-    PEER_LIVE_S,
     RateCoordinator,
     limited_workspaces,
     rate_limit,
 )
+from toucandeald.rate_offices import Office, RateOffices, positive_counts
 from toucandeald.rate_wire import RateGrant, RateReport
 from toucandeald.steady_clock import steady_seconds
 
@@ -53,9 +47,7 @@
 SCARCE_INTERVAL_S = 0.05
 MAX_WAIT_S = 0.25
 SURPLUS_FACTOR = 2  # of the tokens needed; more are returned unused
-COORDINATOR_SILENT_S = 0.4  # two reports without an answer
 MAX_TICK_GAP_S = 0.2  # ticks come every 0.05 s
-AVOIDED_S = 3.0  # by then its peers have marked a lost coordinator as silent
 
 Send = Callable[[str, RateReport | RateGrant], None]
 CountToken = Callable[[str, bool], None]
@@ -76,10 +68,7 @@
         self._coordinator = RateCoordinator(clock, tables, own, self._send_to)
         self._balances: dict[str, RateBalance] = {}
         self._waiting: dict[str, collections.deque[_Waiter]] = {}
-        self._shards: dict[str, _Office] = {}
-        self._avoided: dict[str, float] = {}
-        # An earlier process of the same name may have voted until now.
-        self._voted_at = steady_seconds()
+        self._offices = RateOffices(tables)
         self._ticked_at = steady_seconds()
         self._urgent_timer = None
 
@@ -92,14 +81,14 @@
         if not limits:
             return
         self._coordinator.tick(now)
-        self._update_shards(now)
+        self._offices.update()
         if now - self._ticked_at > MAX_TICK_GAP_S:
             # This proxy was paused, so answers may still be in its queue.
-            for resumed in self._shards.values():
+            for resumed in self._offices.by_shard.values():
                 resumed.chosen_at = now
         self._ticked_at = now
-        for shard, office in self._shards.items():
-            self._choose_coordinator(shard, office, now)
+        for shard, office in self._offices.by_shard.items():
+            self._offices.choose(shard, office, now)
             if now - office.reported_at >= REPORT_INTERVAL_S:
                 self._report(shard, office, self._balances)
 
@@ -147,7 +136,7 @@
     def _refuse(self, limit: Workspace, balance: RateBalance) -> float:
         now = steady_seconds()
         missing = len(self._waiting.get(limit.name, ())) + 1
-        office = self._shards.get(self._shard_of(limit.name))
+        office = self._offices.by_shard.get(self._offices.shard_of(limit.name))
         log_event(
             'over the rate limit',
             workspace=limit.name,
@@ -186,8 +175,8 @@
 
         Otherwise tokens that others wait for would be granted to this proxy.
         """
-        shard = self._shard_of(workspace)
-        office = self._shards.get(shard)
+        shard = self._offices.shard_of(workspace)
+        office = self._offices.by_shard.get(shard)
         if office is None or self._waiting[workspace]:
             return
         if workspace in office.unmet:
@@ -206,61 +195,13 @@
         while waiting and take_token(balance, steady_seconds()):
             waiting.popleft().outcome.callback(True)
 
-    def _shard_of(self, workspace: str) -> str:
-        return workspace_shard(workspace, list(self._shards) or [''])
-
-    def _update_shards(self, now: float) -> None:
-        names = shard_names(len(counted_proxies(self._tables.primary_lease)))
-        if names == list(self._shards):
-            return
-        voted_at = max(
-            (office.voted_at for office in self._shards.values()),
-            default=self._voted_at,
-        )
-        self._shards = {name: _Office(voted_at) for name in names}
-
-    def _choose_coordinator(
-        self, shard: str, office: '_Office', now: float
-    ) -> None:
-        """Change the coordinator if another proxy comes first."""
-        heard_at = max(office.answered_at, office.chosen_at)
-        silent = now - heard_at > COORDINATOR_SILENT_S
-        if office.name and silent and office.name != self._own.name:
-            self._avoided[office.name] = now + AVOIDED_S
-        chosen = next(iter(coordinator_order(shard, self._candidates(now))), '')
-        if chosen != office.name:
-            log_event('rate coordinator', shard=shard, name=chosen)
-            office.name = chosen
-            office.chosen_at = now
-            office.reported_at = -math.inf
-            office.echo = None
-
-    def _candidates(self, now: float) -> list[str]:
-        """Return the live counted proxies that may coordinate."""
-        tables = self._tables
-        candidates = []
-        for name in counted_proxies(tables.primary_lease):
-            peer = tables.peers.get(name)
-            if name == tables.name:
-                live = not tables.draining
-            else:
-                live = (
-                    peer is not None
-                    and not peer.draining
-                    and now - peer.heard_at < PEER_LIVE_S
-                    and now >= self._avoided.get(name, -math.inf)
-                )
-            if live:
-                candidates.append(name)
-        return candidates
-
     def _report_urgently(self, now: float) -> None:
         """Report at once, or when the next report may be sent."""
         if self._urgent_timer is not None:
             return
         due_at = min(
             (
-                self._due_at(self._shards[shard], workspaces)
+                self._due_at(self._offices.by_shard[shard], workspaces)
                 for shard, workspaces in self._waiting_by_shard().items()
             ),
             default=math.inf,
@@ -277,7 +218,7 @@
         self._urgent_timer = None
         now = steady_seconds()
         for shard, workspaces in self._waiting_by_shard().items():
-            office = self._shards[shard]
+            office = self._offices.by_shard[shard]
             if self._due_at(office, workspaces) <= now:
                 self._report(shard, office, workspaces)
         if self._urgent_timer is None:
@@ -287,12 +228,12 @@
         """Return the workspaces with waiting operations, by shard."""
         by_shard: dict[str, list[str]] = {}
         for workspace, waiting in self._waiting.items():
-            shard = self._shard_of(workspace)
-            if waiting and shard in self._shards:
+            shard = self._offices.shard_of(workspace)
+            if waiting and shard in self._offices.by_shard:
                 by_shard.setdefault(shard, []).append(workspace)
         return by_shard
 
-    def _due_at(self, office: '_Office', workspaces: list[str]) -> float:
+    def _due_at(self, office: Office, workspaces: list[str]) -> float:
         """Return when to report for workspaces with waiting operations."""
         if not office.name:
             return math.inf
@@ -301,14 +242,14 @@
         return office.reported_at + URGENT_INTERVAL_S
 
     def _report(
-        self, shard: str, office: '_Office', workspaces: Iterable[str]
+        self, shard: str, office: Office, workspaces: Iterable[str]
     ) -> None:
         """Send a report, which is a vote if this proxy may vote now."""
         if not office.name:
             return
         now = steady_seconds()
         echo, incarnation = 0.0, 0
-        if office.echo is not None and self._may_vote(office, now):
+        if office.echo is not None and self._offices.may_vote(office, now):
             echo, incarnation = office.echo
             office.voted_at = now
             office.voted_for = office.name
@@ -316,13 +257,13 @@
         wanted = {}
         returned = {}
         for name in workspaces:
-            if self._shard_of(name) == shard:
+            if self._offices.shard_of(name) == shard:
                 balance = self._balances[name]
                 wanted[name] = self._wanted(name, balance, now)
                 returned[name] = take_returned(
                     balance, (office.name, office.incarnation)
                 )
-        office.unmet = _positive(wanted)
+        office.unmet = positive_counts(wanted)
         self._send_to(
             office.name,
             self._address(office.name),
@@ -334,8 +275,8 @@
                 echo,
                 incarnation,
                 now,
-                _positive(wanted),
-                _positive(returned),
+                positive_counts(wanted),
+                positive_counts(returned),
             ),
         )
 
@@ -353,28 +294,13 @@
         expire_surplus(balance, SURPLUS_FACTOR * needed)
         return max(needed - held_tokens(balance), 0)
 
-    def _may_vote(self, office: '_Office', now: float) -> bool:
-        """Return whether no other vote of this proxy can be valid.
-
-        Proxies that do not count this one would divide the limit among fewer.
-        """
-        changed = office.voted_for != office.name
-        if changed and now - office.voted_at < VOTE_VALID_S:
-            return False
-        counted_by = {
-            peer.name
-            for peer in self._tables.peers.values()
-            if peer.counts_this_proxy
-        }
-        return may_begin_promotion(self._tables.primary_lease, counted_by, now)
-
     def _apply_grant(self, grant: RateGrant) -> None:
         now = steady_seconds()
-        office = self._shards.get(grant.shard)
+        office = self._offices.by_shard.get(grant.shard)
         if office is not None and office.name == grant.sender:
             office.apply(grant, now)
             if grant.released:
-                self._avoided[grant.sender] = now + AVOIDED_S
+                self._offices.avoid(grant.sender, now)
         grantor = (grant.sender, grant.incarnation)
         expires_at = grant.report_sent_at + TOKEN_VALID_S
         for workspace, tokens in grant.tokens.items():
@@ -404,49 +330,5 @@
     ends_at: float
 
 
-class _Office:
-    """The coordinator of one shard, as this proxy knows it.
-
-    `unmet` is what the last report requested and grants have not brought.
-    `voted_at` is the time of the last vote, which went to `voted_for`.
-    """
-
-    def __init__(self, voted_at: float) -> None:
-        """Start without a coordinator."""
-        self.name = ''
-        self.voted_for = ''
-        self.voted_at = voted_at
-        self.chosen_at = -math.inf
-        self.reported_at = -math.inf
-        self.answered_at = -math.inf
-        self.unmet: dict[str, int] = {}
-        self.echo: tuple[float, int] | None = None
-        self.incarnation = 0
-
-    def apply(self, grant: RateGrant, now: float) -> None:
-        """Record a grant of the coordinator."""
-        self.answered_at = now
-        self.incarnation = grant.incarnation
-        if grant.report_sent_at == self.reported_at:
-            for workspace, tokens in grant.tokens.items():
-                self.unmet[workspace] = self.unmet.get(workspace, 0) - tokens
-            self.unmet = _positive(self.unmet)
-        is_later = (
-            self.echo is None
-            or self.echo[1] != grant.incarnation
-            or grant.sent_at > self.echo[0]
-        )
-        if grant.released:
-            self.echo = None
-            if self.voted_for == grant.sender:
-                self.voted_at = -math.inf
-        elif is_later:
-            self.echo = (grant.sent_at, grant.incarnation)
-
-
-def _positive(counts: dict[str, int]) -> dict[str, int]:
-    return {name: count for name, count in counts.items() if count > 0}
-
-
 def _ignore(workspace: str, granted: bool) -> None:
     """Ignore a decision."""
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/rate_offices.py
@@ -0,0 +1,145 @@
+"""The coordinators of the rates' shards, as this proxy sees them."""
+
+import math
+
+from toucandeal.fleet_tables import FleetTables
+from toucandeal.primary_lease import counted_proxies, may_begin_promotion
+from toucandeal.rate_limits import (
+    VOTE_VALID_S,
+    coordinator_order,
+    shard_names,
+    workspace_shard,
+)
+from toucandeald.logs import log_event
+from toucandeald.rate_coordinator import PEER_LIVE_S
+from toucandeald.rate_wire import RateGrant
+from toucandeald.steady_clock import steady_seconds
+
+__all__ = ['Office', 'RateOffices', 'positive_counts']
+
+COORDINATOR_SILENT_S = 0.4  # two reports without an answer
+AVOIDED_S = 3.0  # by then its peers have marked a lost coordinator as silent
+
+
+class Office:
+    """The coordinator of one shard, as this proxy knows it.
+
+    `unmet` is what the last report requested and grants have not brought.
+    `voted_at` is the time of the last vote, which went to `voted_for`.
+    """
+
+    def __init__(self, voted_at: float) -> None:
+        """Start without a coordinator."""
+        self.name = ''
+        self.voted_for = ''
+        self.voted_at = voted_at
+        self.chosen_at = -math.inf
+        self.reported_at = -math.inf
+        self.answered_at = -math.inf
+        self.unmet: dict[str, int] = {}
+        self.echo: tuple[float, int] | None = None
+        self.incarnation = 0
+
+    def apply(self, grant: RateGrant, now: float) -> None:
+        """Record a grant of the coordinator."""
+        self.answered_at = now
+        self.incarnation = grant.incarnation
+        if grant.report_sent_at == self.reported_at:
+            for workspace, tokens in grant.tokens.items():
+                self.unmet[workspace] = self.unmet.get(workspace, 0) - tokens
+            self.unmet = positive_counts(self.unmet)
+        is_later = (
+            self.echo is None
+            or self.echo[1] != grant.incarnation
+            or grant.sent_at > self.echo[0]
+        )
+        if grant.released:
+            self.echo = None
+            if self.voted_for == grant.sender:
+                self.voted_at = -math.inf
+        elif is_later:
+            self.echo = (grant.sent_at, grant.incarnation)
+
+
+class RateOffices:
+    """The offices by shard, and the rules of this proxy's votes."""
+
+    def __init__(self, tables: FleetTables) -> None:
+        """Start without shards."""
+        self.by_shard: dict[str, Office] = {}
+        self._tables = tables
+        self._avoided: dict[str, float] = {}
+        # An earlier process of the same name may have voted until now.
+        self._voted_at = steady_seconds()
+
+    def shard_of(self, workspace: str) -> str:
+        """Return the shard of a workspace, or '' before there are any."""
+        return workspace_shard(workspace, list(self.by_shard) or [''])
+
+    def update(self) -> None:
+        """Divide the workspaces into shards by the number of proxies."""
+        names = shard_names(len(counted_proxies(self._tables.primary_lease)))
+        if names == list(self.by_shard):
+            return
+        voted_at = max(
+            (office.voted_at for office in self.by_shard.values()),
+            default=self._voted_at,
+        )
+        self.by_shard = {name: Office(voted_at) for name in names}
+
+    def choose(self, shard: str, office: Office, now: float) -> None:
+        """Change the coordinator if another proxy comes first."""
+        heard_at = max(office.answered_at, office.chosen_at)
+        silent = now - heard_at > COORDINATOR_SILENT_S
+        if office.name and silent and office.name != self._tables.name:
+            self.avoid(office.name, now)
+        chosen = next(iter(coordinator_order(shard, self._candidates(now))), '')
+        if chosen != office.name:
+            log_event('rate coordinator', shard=shard, name=chosen)
+            office.name = chosen
+            office.chosen_at = now
+            office.reported_at = -math.inf
+            office.echo = None
+
+    def avoid(self, name: str, now: float) -> None:
+        """Choose other coordinators than `name` for a while."""
+        self._avoided[name] = now + AVOIDED_S
+
+    def may_vote(self, office: Office, now: float) -> bool:
+        """Return whether no other vote of this proxy can be valid.
+
+        Proxies that do not count this one would divide the limit among fewer.
+        """
+        changed = office.voted_for != office.name
+        if changed and now - office.voted_at < VOTE_VALID_S:
+            return False
+        counted_by = {
+            peer.name
+            for peer in self._tables.peers.values()
+            if peer.counts_this_proxy
+        }
+        return may_begin_promotion(self._tables.primary_lease, counted_by, now)
+
+    def _candidates(self, now: float) -> list[str]:
+        """Return the live counted proxies that may coordinate."""
+        tables = self._tables
+        candidates = []
+        for name in counted_proxies(tables.primary_lease):
+            peer = tables.peers.get(name)
+            if name == tables.name:
+                live = not tables.draining
+            else:
+                live = (
+                    peer is not None
+                    and not peer.draining
+                    and now - peer.heard_at < PEER_LIVE_S
+                    and now >= self._avoided.get(name, -math.inf)
+                )
+            if live:
+                candidates.append(name)
+        return candidates
+
+
+def positive_counts(counts: dict[str, int]) -> dict[str, int]:
+    """Return the counts above 0."""
+    return {name: count for name, count in counts.items() if count > 0}
