Keep a proxy that registers again among the sharers of a rate

Two halves that could not hear each other but both read the store marked each other as silent and registered again.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
@@ -196,8 +196,12 @@
             return
         registry = self._fleet.registry
         known = registry.get(self.name)
-        if known is None or known.silent or known != self.own:
-            registry[self.name] = self.own
+        if (
+            known is None
+            or known.silent
+            or known.incarnation != self.own.incarnation
+        ):
+            self._fleet.write(self.own)
         record_store_read(
             self.tables.primary_lease, self.clock.seconds(), dict(registry)
         )
@@ -215,7 +219,7 @@
             if record.name == self.name or record.silent or since < SILENT_S:
                 continue
             if self.reads_store:
-                registry[record.name] = record._replace(silent=True)
+                self._fleet.write(record._replace(silent=True))
 
 
 class RateFleet:
@@ -243,6 +247,7 @@
         self.demand: dict[tuple[str, str], float] = {}
         self._owed: dict[tuple[str, str], float] = {}
         self._incarnation = 0
+        self._writes = 0
         self.proxies: dict[str, RateProxy] = {}
         for name in names:
             self.start(name)
@@ -255,6 +260,12 @@
             self.version, {}, {}, 30.0, limits
         )
 
+    def write(self, record: ProxyRecord) -> None:
+        """Write a proxy's record into the store."""
+        self._writes += 1
+        version = NO_VERSION._replace(number=self._writes)
+        self.registry[record.name] = record._replace(version=version)
+
     def start(self, name: str) -> None:
         """Start a proxy, or kill it and start it again."""
         self.kill(name)
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
@@ -143,6 +143,22 @@
     _check_windows(fleet, LIMIT)
 
 
+def test_two_halves_that_both_read_the_store_keep_within_the_limit():
+    """Guards against halves that each divide the limit among themselves.
+
+    Each marks the other as silent, and the other registers again.
+    """
+    fleet = _fleet(NAMES, LIMIT, 4)
+    for near in NAMES[:2]:
+        for far in NAMES[2:]:
+            fleet.cut |= {(near, far), (far, near)}
+    fleet.run(11)
+    for name in NAMES[::2]:
+        fleet.start(name)
+    fleet.run(16)
+    _check_windows(fleet, LIMIT)
+
+
 class RatesUnderFaults(RuleBasedStateMachine):
     """Four proxies under faults, one workspace with twice its limit or more.
 
--- a/packages/toucandeald/src/toucandeald/rate_coordinator.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordinator.py
@@ -60,7 +60,7 @@
         self._own = own
         self._send = send
         self._shards: dict[str, _Shard] = {}
-        self._silent_since: dict[str, float] = {}
+        self._silent_since: dict[ProxyRecord, float] = {}
         self._view = _View(-math.inf, frozenset(), 1, -math.inf)
         self._filled_at = -math.inf
         self._dividing = None
@@ -148,17 +148,19 @@
         """Return among how many proxies the votes may be divided.
 
         Proxies that have just been marked as silent, and live ones that this
-        proxy does not count yet, may vote for another coordinator.
+        proxy does not count yet, may vote for another coordinator. A record
+        with another version is that of a proxy that registered in between, as
+        one does that only its peers cannot hear.
         """
         registered = self._tables.primary_lease.registered
         self._silent_since = {
-            record.name: self._silent_since.get(record.name, now)
+            record: self._silent_since.get(record, now)
             for record in registered.values()
             if record.silent
         }
         recent = {
-            name
-            for name, since in self._silent_since.items()
+            record.name
+            for record, since in self._silent_since.items()
             if now - since < SILENT_COUNTS_S
         }
         return len(sharing_proxies(self._tables, now) | recent)
