--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -9,6 +9,7 @@
 from toucandeal.fleet import FleetConfiguration, GroupRecord, Server
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.primary_lease import PrimaryLease, may_use_primary
+from toucandeal.relays import RelayAssignment
 from toucandeal.staleness import History, Sample, add_sample
 
 __all__ = [
@@ -79,6 +80,9 @@
 class PeerView(NamedTuple):
     """Another proxy, as of its last heartbeat.
 
+    In a fleet with relays, a proxy that exchanges no heartbeats with this one
+    is described by its registered row and by the relays' summaries.
+
     `demands` is the number of connections that it could use, by server.
     """
 
@@ -95,7 +99,10 @@
 
 
 class FleetTables:
-    """All tables of one proxy."""
+    """All tables of one proxy.
+
+    `relay_assignment` is None while all proxies exchange heartbeats.
+    """
 
     def __init__(self, name: str, failure_domain: str) -> None:
         """Start with empty tables."""
@@ -108,6 +115,7 @@
         self.peers: dict[str, PeerView] = {}
         self.primary_lease = PrimaryLease(name)
         self.draining = False
+        self.relay_assignment: RelayAssignment | None = None
 
 
 def group_state(tables: FleetTables, name: str) -> GroupState:
--- a/packages/toucandeal/src/toucandeal/primary_lease.py
+++ b/packages/toucandeal/src/toucandeal/primary_lease.py
@@ -14,6 +14,10 @@
 time at which this proxy had sent the message that the peer echoes, so clocks
 of different proxies are never compared.
 
+In a fleet with relays (see :mod:`toucandeal.relay_summaries`), the peers'
+confirmations arrive combined. They count for exactly the registered proxies
+that they were combined for.
+
 A store that was restored from an older copy grants no lease until its records
 are confirmed (see :mod:`toucandeal.store_recovery`); peers go on granting
 leases as they do while the store is away.
@@ -26,6 +30,7 @@
 from toucandeal.store_versions import NO_VERSION, StoreVersion
 
 __all__ = [
+    'FleetGrant',
     'LEASE_DURATION_S',
     'LEASE_MARGIN_S',
     'PEER_LEASE_LIMIT_S',
@@ -34,10 +39,12 @@
     'PrimaryLease',
     'begin_era',
     'counted_proxies',
+    'grant_basis',
     'lease_expires_at',
     'leases_expired_at',
     'may_begin_promotion',
     'may_use_primary',
+    'record_fleet_grant',
     'record_peer_grant',
     'record_store_read',
     'renew_from_peer',
@@ -58,6 +65,16 @@
     era: int = 0
 
 
+class FleetGrant(NamedTuple):
+    """Latest time, on this clock, at which no peer had begun a promotion.
+
+    `basis` is the list of proxies whose confirmations are combined in it.
+    """
+
+    basis: dict[str, ProxyRecord]
+    as_of: float
+
+
 class PrimaryLease:
     """The evidence for this proxy's lease on the groups' primaries.
 
@@ -74,6 +91,7 @@
         self.registered: dict[str, ProxyRecord] = {}
         self.registered_as_of = -math.inf
         self.peer_grants: dict[str, PeerGrant] = {}
+        self.fleet_grant: FleetGrant | None = None
         self.promoting_groups: set[str] = set()
         self.joined_at = math.inf
         self.era = 0
@@ -82,6 +100,20 @@
         self.members: dict[str, ProxyRecord] = {}
         self.members_as_of = -math.inf
         self.vanished: dict[str, ProxyRecord] = {}
+        self._counted: tuple[dict[str, ProxyRecord], frozenset[str]] = (
+            self.registered,
+            frozenset(),
+        )
+
+    def counted(self) -> frozenset[str]:
+        """Return the registered proxies that are not marked as silent.
+
+        The list of registered proxies is replaced as a whole, so the names
+        are computed once for each list.
+        """
+        if self._counted[0] is not self.registered:
+            self._counted = (self.registered, _not_silent(self.registered))
+        return self._counted[1]
 
 
 def begin_era(lease: PrimaryLease, era: int, now: float) -> None:
@@ -99,6 +131,7 @@
         for record in lease.registered.values()
     }
     lease.joined_at = math.inf
+    lease.fleet_grant = None
 
 
 def record_store_read(
@@ -202,12 +235,32 @@
         lease.peer_grants[name] = grant
 
 
-def counted_proxies(lease: PrimaryLease) -> set[str]:
+def record_fleet_grant(lease: PrimaryLease, grant: FleetGrant) -> None:
+    """Record that all peers have confirmed to have begun no promotion."""
+    known = lease.fleet_grant
+    if (
+        known is None
+        or known.basis is not grant.basis
+        or grant.as_of > known.as_of
+    ):
+        lease.fleet_grant = grant
+
+
+def grant_basis(lease: PrimaryLease) -> dict[str, ProxyRecord]:
+    """Return the proxies of which all but the silent ones have to confirm.
+
+    Until the records of a restored store are confirmed, they are the proxies
+    that were registered when its era began.
+    """
+    return lease.registered if lease.confirmed else lease.members
+
+
+def counted_proxies(lease: PrimaryLease) -> frozenset[str]:
     """Return the registered proxies that are not marked as silent."""
-    return _not_silent(lease.registered)
+    return lease.counted()
 
 
-def _members(lease: PrimaryLease) -> set[str]:
+def _members(lease: PrimaryLease) -> frozenset[str]:
     """Return the proxies that counted when the store's era began.
 
     A peer that is marked as silent since then may have begun a promotion that
@@ -216,8 +269,10 @@
     return _not_silent(lease.members)
 
 
-def _not_silent(records: dict[str, ProxyRecord]) -> set[str]:
-    return {record.name for record in records.values() if not record.silent}
+def _not_silent(records: dict[str, ProxyRecord]) -> frozenset[str]:
+    return frozenset(
+        record.name for record in records.values() if not record.silent
+    )
 
 
 def _peer_grants_as_of(lease: PrimaryLease, now: float) -> float:
@@ -231,7 +286,11 @@
     if not others:
         # Without peers, this proxy would not hear of a proxy that registers.
         return -math.inf
-    return min(_peer_grant_as_of(lease, name) for name in others)
+    as_of = min(_peer_grant_as_of(lease, name) for name in others)
+    fleet = lease.fleet_grant
+    if fleet is not None and fleet.basis is grant_basis(lease):
+        return max(as_of, fleet.as_of)
+    return as_of
 
 
 def _peer_grant_as_of(lease: PrimaryLease, name: str) -> float:
@@ -265,7 +324,11 @@
         record is not None
         and not record.changing
         and record.group not in lease.promoting_groups
-        and now < lease_expires_at(lease, now)
+        # The store's grant is checked first, because it is cheaper.
+        and (
+            now < lease.store_as_of + LEASE_DURATION_S - LEASE_MARGIN_S
+            or now < lease_expires_at(lease, now)
+        )
     )
 
 
--- a/packages/toucandeal/src/toucandeal/store_recovery.py
+++ b/packages/toucandeal/src/toucandeal/store_recovery.py
@@ -88,6 +88,12 @@
         or list_age_s > PEER_LEASE_LIMIT_S
     ):
         return False
+    if (
+        lease.fleet_grant is not None
+        and lease.fleet_grant.basis is lease.members
+    ):
+        # The start of the era discards it, so it was made within the era.
+        return True
     return all(
         _confirms(lease, member)
         for member in lease.members.values()
