Carry heartbeats over relays in fleets of more than 40 proxies

The full mesh of heartbeats costs 2,400 messages a second at 300 proxies. Proxies now exchange them with two relays of their failure domain, which combine the confirmations that leases need. Combined confirmations count only for the same counted proxies, incarnations and store era.

Fleets of at most 40 proxies keep the full mesh and its messages.

--- a/packages/toucandeal/src/toucandeal/lending.py
+++ b/packages/toucandeal/src/toucandeal/lending.py
@@ -12,14 +12,15 @@
   a server accepts, and the rest is free when the proxies restart.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from toucandeal.membership import rendezvous_order
 
-__all__ = ['choose_lender', 'lenders']
+__all__ = ['choose_lender', 'lenders', 'spread_lenders']
 
 LENDER_SHARE = 0.5  # of a server's connections; all may reconnect at once
 MIN_CONNECTIONS_PER_LENDER = 2  # with one, statements queue
+MAX_SPREAD_LENDERS = 4  # each sends its demand to the others
 
 
 def lenders(server: str, proxies: Iterable[str], limit: int) -> list[str]:
@@ -41,10 +42,45 @@
     >>> len(lenders('s', names, limit=28))
     7
     """
-    max_lenders = max(
-        int(limit * LENDER_SHARE) // MIN_CONNECTIONS_PER_LENDER, 1
-    )
-    return rendezvous_order(proxies, server)[:max_lenders]
+    return rendezvous_order(proxies, server)[: _max_lenders(limit)]
+
+
+def _max_lenders(limit: int) -> int:
+    return max(int(limit * LENDER_SHARE) // MIN_CONNECTIONS_PER_LENDER, 1)
+
+
+def spread_lenders(
+    server: str, domains: Mapping[str, str], limit: int
+) -> list[str]:
+    """Return the lenders of a server in a fleet of hundreds of proxies.
+
+    There are at most `MAX_SPREAD_LENDERS`, one in each failure domain first,
+    so that most proxies borrow within their own.
+
+    Parameters
+    ----------
+    server : str
+    domains : mapping
+        Failure domain by counted proxy.
+    limit : int
+        Connections that the server accepts.
+
+    Examples
+    --------
+    >>> fleet = {f'p{number}': 'abc'[number % 3] for number in range(300)}
+    >>> chosen = spread_lenders('s', fleet, limit=70)
+    >>> len(chosen), sorted({fleet[name] for name in chosen})
+    (4, ['a', 'b', 'c'])
+    >>> len(spread_lenders('s', fleet, limit=8))
+    2
+    """
+    order = rendezvous_order(domains, server)
+    first_of_domain: dict[str, str] = {}
+    for name in order:
+        first_of_domain.setdefault(domains[name], name)
+    first = list(first_of_domain.values())
+    rest = [name for name in order if name not in first]
+    return [*first, *rest][: min(MAX_SPREAD_LENDERS, _max_lenders(limit))]
 
 
 def choose_lender(
--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -29,9 +29,15 @@
 
 LOCK_DURATION_S = 2.0  # a lock holder acts within this time of its last record
 PRIMARY_CONTACT_S = 0.5  # a peer that heard the primary this recently vetoes
+# Contacts reach distant proxies through two relays, each up to 0.25 s later.
+RELAYED_CONTACT_S = 0.7
 PEER_LIVE_S = 1.0  # a peer not heard for longer is ignored
 SUSPECT_S = 0.25  # from the first failed check to a promotion
 STAGGER_S = 0.15  # between the proxies that may start a promotion
+# In a fleet with relays the first two are staggered, and the rest share the
+# remaining time, so that hundreds of ranks add no gap.
+RELAYED_STAGGER_S = 0.08
+RELAYED_MAX_DELAY_S = 0.2
 
 
 class ServerReport(NamedTuple):
@@ -99,9 +105,14 @@
         return None
     if now - load.unreachable_since < SUSPECT_S:
         return None
+    contact_s = (
+        PRIMARY_CONTACT_S
+        if tables.relay_assignment is None
+        else RELAYED_CONTACT_S
+    )
     if any(
         now - peer.heard_at < PEER_LIVE_S
-        and now - peer.primary_heard.get(name, -math.inf) < PRIMARY_CONTACT_S
+        and now - peer.primary_heard.get(name, -math.inf) < contact_s
         for peer in tables.peers.values()
     ):
         return None
@@ -113,6 +124,7 @@
 
     The delays of the live proxies rise in the order of their names, from an
     offset that depends on the group, so two seldom race for the same group.
+    In a fleet with relays the delay is at most 0.2 s.
     """
     live = sorted(
         {tables.name}
@@ -123,7 +135,24 @@
         }
     )
     first_index = sum(group.encode()) % len(live)
-    return STAGGER_S * ((live.index(tables.name) - first_index) % len(live))
+    rank = (live.index(tables.name) - first_index) % len(live)
+    if tables.relay_assignment is None:
+        return STAGGER_S * rank
+    return _relayed_delay_s(rank, len(live))
+
+
+def _relayed_delay_s(rank: int, live: int) -> float:
+    """Return the delay of a proxy in a fleet with relays.
+
+    Examples
+    --------
+    >>> [round(_relayed_delay_s(rank, 300), 3) for rank in (0, 1, 2, 299)]
+    [0.0, 0.08, 0.16, 0.2]
+    """
+    if rank < 2:
+        return RELAYED_STAGGER_S * rank
+    rest_s = RELAYED_MAX_DELAY_S - 2 * RELAYED_STAGGER_S
+    return 2 * RELAYED_STAGGER_S + rest_s * rank / live
 
 
 def best_replica(reports: dict[str, ServerReport]) -> str | None:
--- a/packages/toucandeal/src/toucandeal/relay_summaries.py
+++ b/packages/toucandeal/src/toucandeal/relay_summaries.py
@@ -17,197 +17,26 @@
 """
 
 import math
-from typing import NamedTuple
 
-from toucandeal.relays import NO_MEMBERSHIP, RelayAssignment
-from toucandeal.store_versions import StoreVersion
+from toucandeal.relay_reports import (
+    ATTACHED_SILENT_S,
+    MAX_AGE_S,
+    HeardProxy,
+    HeardSummary,
+    RelayState,
+    RelaySummary,
+)
+from toucandeal.relays import NO_MEMBERSHIP
 
 __all__ = [
-    'ATTACHED_SILENT_S',
-    'RelayReport',
-    'RelayState',
-    'RelaySummary',
     'fleet_agrees',
     'fleet_confirmed_at',
     'fleet_summary',
     'heard_times',
     'known_draining',
     'local_summary',
-    'record_report',
 ]
 
-ATTACHED_SILENT_S = 1.0  # four heartbeat intervals
-MAX_AGE_S = 30.0  # stands for a confirmation that there is none of
-
-
-class RelaySummary(NamedTuple):
-    """A relay's report of other proxies, as sent.
-
-    Attributes
-    ----------
-    covers_fleet : bool
-        Whether it covers all counted proxies, or only those that are attached
-        to the sender.
-    none_begun_age : float
-        Age, in seconds, of the oldest confirmation that none of them has begun
-        a promotion.
-    agreed : bool
-        Whether all of them have reported the membership of the sender.
-    silent, draining : list of str
-    guests : list of str
-        Proxies that use the sender as a relay though it does not count them as
-        attached.
-    """
-
-    covers_fleet: bool
-    none_begun_age: float
-    agreed: bool
-    silent: list[str]
-    draining: list[str]
-    guests: list[str]
-
-
-class RelayReport(NamedTuple):
-    """A received heartbeat, as far as relays are concerned.
-
-    `sent_after` is a time, on this clock, after which it was sent, or minus
-    infinity. `attached` is whether the sender uses this proxy as a relay.
-    """
-
-    name: str
-    incarnation: int
-    membership: int
-    attached: bool
-    draining: bool
-    none_begun: bool
-    records_version: StoreVersion
-    sent_after: float
-    summary: RelaySummary | None = None
-
-
-class _HeardProxy(NamedTuple):
-    """The last heartbeat of a proxy; all times are on this clock."""
-
-    incarnation: int
-    membership: int
-    heard_at: float
-    attached_at: float
-    draining: bool
-    none_begun_at: float
-
-
-class _HeardSummary(NamedTuple):
-    """The last summary of a relay; all times are on this clock."""
-
-    incarnation: int
-    membership: int
-    heard_at: float
-    none_begun_at: float
-    agreed: bool
-    silent: frozenset[str]
-    draining: frozenset[str]
-    guests: frozenset[str]
-
-
-class RelayState:
-    """The heartbeats and summaries that this proxy has heard.
-
-    `assigned_at` is the time since which each attached proxy has been so.
-    """
-
-    def __init__(self, name: str) -> None:
-        """Start without any."""
-        self.name = name
-        self.assignment: RelayAssignment | None = None
-        self.incarnations: dict[str, int] = {}
-        self.assigned_at: dict[str, float] = {}
-        self.heard: dict[str, _HeardProxy] = {}
-        self.local_summaries: dict[str, _HeardSummary] = {}
-        self.fleet_summaries: dict[str, _HeardSummary] = {}
-
-    def assign(
-        self,
-        assignment: RelayAssignment,
-        incarnations: dict[str, int],
-        now: float,
-    ) -> None:
-        """Put an assignment in force; `incarnations` are of its proxies."""
-        self.assignment = assignment
-        self.incarnations = incarnations
-        self.assigned_at = {
-            name: self.assigned_at.get(name, now)
-            for name in assignment.attached.get(self.name, ())
-        }
-
-
-def record_report(
-    state: RelayState,
-    report: RelayReport,
-    records_version: StoreVersion,
-    now: float,
-) -> None:
-    """Record a heartbeat that was received at `now`.
-
-    A confirmation of a proxy with newer records than `records_version`, which
-    are those of this proxy, proves nothing about the older ones.
-    """
-    known = state.heard.get(report.name)
-    is_same = (
-        known is not None
-        and known.incarnation == report.incarnation
-        and known.membership == report.membership
-    )
-    valid = report.records_version <= records_version
-    confirmed_at = known.none_begun_at if is_same else -math.inf
-    if report.none_begun and valid:
-        confirmed_at = max(confirmed_at, report.sent_after)
-    state.heard[report.name] = _HeardProxy(
-        report.incarnation,
-        report.membership,
-        now,
-        now if report.attached else -math.inf,
-        report.draining,
-        confirmed_at,
-    )
-    if report.summary is not None:
-        _record_summary(state, report, report.summary, valid, now)
-
-
-def _record_summary(
-    state: RelayState,
-    report: RelayReport,
-    summary: RelaySummary,
-    valid: bool,
-    now: float,
-) -> None:
-    summaries = (
-        state.fleet_summaries
-        if summary.covers_fleet
-        else state.local_summaries
-    )
-    known = summaries.get(report.name)
-    confirmed_at = -math.inf
-    if (
-        known is not None
-        and known.incarnation == report.incarnation
-        and known.membership == report.membership
-    ):
-        confirmed_at = known.none_begun_at
-    if valid and summary.none_begun_age < MAX_AGE_S:
-        confirmed_at = max(
-            confirmed_at, report.sent_after - summary.none_begun_age
-        )
-    summaries[report.name] = _HeardSummary(
-        report.incarnation,
-        report.membership,
-        now,
-        confirmed_at,
-        summary.agreed,
-        frozenset(summary.silent),
-        frozenset(summary.draining),
-        frozenset(summary.guests),
-    )
-
 
 def local_summary(state: RelayState, now: float) -> RelaySummary:
     """Return the summary of the proxies attached to this relay."""
@@ -249,7 +78,7 @@
         agreed=fleet_agrees(state),
         silent=sorted(
             name
-            for name in state.incarnations
+            for name in state.incarnations.keys() | state.marked
             if name != state.name
             and now - heard.get(name, -math.inf) > ATTACHED_SILENT_S
         ),
@@ -387,7 +216,9 @@
 
 def _confirmed_at(state: RelayState, name: str) -> float:
     """Return the last confirmation of a proxy with the same membership."""
-    return state.heard[name].none_begun_at if _agrees(state, name) else -math.inf
+    return (
+        state.heard[name].none_begun_at if _agrees(state, name) else -math.inf
+    )
 
 
 def _agrees(state: RelayState, name: str) -> bool:
@@ -396,10 +227,11 @@
 
 
 def _is_current(
-    state: RelayState, name: str, heard: _HeardProxy | _HeardSummary
+    state: RelayState, name: str, heard: HeardProxy | HeardSummary
 ) -> bool:
     membership = state.assignment.membership if state.assignment else None
     return (
-        heard.membership == membership != NO_MEMBERSHIP
+        heard.membership == membership
+        and membership != NO_MEMBERSHIP
         and heard.incarnation == state.incarnations.get(name)
     )
--- a/packages/toucandeal/src/toucandeal/relay_views.py
+++ b/packages/toucandeal/src/toucandeal/relay_views.py
@@ -8,7 +8,6 @@
 """
 
 import math
-from collections.abc import Mapping
 from typing import NamedTuple
 
 from toucandeal.fleet import ProxyRecord
@@ -20,10 +19,14 @@
     grant_basis,
     record_fleet_grant,
 )
-from toucandeal.relay_summaries import (
+from toucandeal.relay_reports import (
     ATTACHED_SILENT_S,
+    RelayReport,
     RelayState,
     RelaySummary,
+    record_report,
+)
+from toucandeal.relay_summaries import (
     fleet_agrees,
     fleet_confirmed_at,
     fleet_summary,
@@ -39,15 +42,19 @@
     relays_for,
     uses_relays,
 )
+from toucandeal.store_versions import StoreVersion
 
 __all__ = [
     'RelayExchange',
     'apply_summaries',
+    'differs_from_relays',
     'membership',
     'own_relays',
+    'receive_report',
     'relay_recipients',
     'sends_to_all',
-    'summary_for',
+    'summaries_to_send',
+    'renew_from_relays',
     'update_assignment',
 ]
 
@@ -147,19 +154,13 @@
 
 
 def _assign(exchange: RelayExchange, tables: FleetTables, now: float) -> None:
-    counted = {
-        record.name: record
-        for record in exchange.basis.values()
-        if not record.silent
-    }
+    registered = exchange.basis.values()
     assignment = assign_relays(
-        counted.values(), exchange.key.draining, exchange.key.era
-    )
-    exchange.summaries.assign(
-        assignment,
-        {record.name: record.incarnation for record in counted.values()},
-        now,
+        [record for record in registered if not record.silent],
+        exchange.key.draining,
+        exchange.key.era,
     )
+    exchange.summaries.assign(assignment, registered, now)
     pair = relays_for(assignment, tables.name, tables.failure_domain)
     if assignment.is_relay(tables.name):
         pair = ()
@@ -229,9 +230,9 @@
     return recipients - {own}
 
 
-def summary_for(
+def summaries_to_send(
     exchange: RelayExchange, tables: FleetTables, now: float
-) -> Mapping[bool, RelaySummary]:
+) -> dict[bool, RelaySummary]:
     """Return the summaries to send, by whether the recipient is a relay."""
     assignment = exchange.summaries.assignment
     serves_others = any(
@@ -248,19 +249,56 @@
     return {False: fleet, True: local_summary(exchange.summaries, now)}
 
 
+def receive_report(
+    exchange: RelayExchange,
+    tables: FleetTables,
+    report: RelayReport,
+    records_version: StoreVersion,
+    now: float,
+) -> None:
+    """Record a heartbeat, and renew the lease if it came from a relay."""
+    if report.uses_relays:
+        exchange.relays_heard_at = now
+    record_report(exchange.summaries, report, records_version, now)
+    if report.summary is not None:
+        update_assignment(exchange, tables, now)
+        renew_from_relays(exchange, tables, now)
+
+
+def differs_from_relays(exchange: RelayExchange, now: float) -> bool:
+    """Return whether a relay has reported another membership."""
+    heard = exchange.summaries.heard
+    own = membership(exchange)
+    return any(
+        heard[name].membership != own
+        and now - heard[name].heard_at <= ATTACHED_SILENT_S
+        for name in exchange.pair
+        if name in heard
+    )
+
+
+def renew_from_relays(
+    exchange: RelayExchange, tables: FleetTables, now: float
+) -> None:
+    """Renew the lease from what the relays have confirmed."""
+    if exchange.basis is not grant_basis(tables.primary_lease) or (
+        exchange.key is None or exchange.key.era != tables.primary_lease.era
+    ):
+        return
+    confirmed_at = fleet_confirmed_at(exchange.summaries, now)
+    if confirmed_at > -math.inf:
+        record_fleet_grant(
+            tables.primary_lease, FleetGrant(exchange.basis, confirmed_at)
+        )
+
+
 def apply_summaries(
     exchange: RelayExchange, tables: FleetTables, now: float
 ) -> None:
     """Renew the lease and the views of peers from what relays have reported."""
+    renew_from_relays(exchange, tables, now)
     lease = tables.primary_lease
     summaries = exchange.summaries
-    if exchange.basis is not grant_basis(lease) or (
-        exchange.key is not None and exchange.key.era != lease.era
-    ):
-        return
-    confirmed_at = fleet_confirmed_at(summaries, now)
-    if confirmed_at > -math.inf:
-        record_fleet_grant(lease, FleetGrant(exchange.basis, confirmed_at))
     agreed = fleet_agrees(summaries)
     draining = known_draining(summaries, now)
     heard = heard_times(summaries)
--- a/packages/toucandeal/src/toucandeal/relays.py
+++ b/packages/toucandeal/src/toucandeal/relays.py
@@ -25,6 +25,7 @@
     'RELAYS_PER_PROXY',
     'RelayAssignment',
     'assign_relays',
+    'marking_rank',
     'relays_for',
     'uses_relays',
 ]
@@ -35,6 +36,7 @@
 PROXIES_PER_RELAY = 24
 RELAYS_PER_PROXY = 2
 NO_MEMBERSHIP = 0  # of a proxy that counts none
+CACHE_SIZE = 4096  # several times the proxies of a fleet
 
 
 class RelayAssignment(NamedTuple):
@@ -152,12 +154,35 @@
     They belong to its own failure domain if that has two; other domains supply
     the rest.
     """
-    return _relays_for(
-        name, domain, tuple(sorted(assignment.relays.items()))
-    )
+    return _relays_for(name, domain, tuple(sorted(assignment.relays.items())))
+
+
+def marking_rank(
+    assignment: RelayAssignment, own: str, name: str
+) -> int | None:
+    """Return this proxy's rank among those that may mark `name` as silent.
+
+    They are the relays of the proxy, or all relays if it is one itself. None
+    means that this proxy is not among them.
+
+    Examples
+    --------
+    >>> fleet = [ProxyRecord(f'p{number}', 1, '') for number in range(50)]
+    >>> assignment = assign_relays(fleet, frozenset(), 0)
+    >>> name, (first, second) = next(iter(assignment.relays_of.items()))
+    >>> [marking_rank(assignment, own, name) for own in (first, second, 'p')]
+    [0, 1, None]
+    >>> marking_rank(assignment, name, first) is None
+    True
+    """
+    if assignment.is_relay(name):
+        markers = rendezvous_order(assignment.attached.keys() - {name}, name)
+    else:
+        markers = list(assignment.relays_of.get(name, ()))
+    return markers.index(own) if own in markers else None
 
 
-@functools.lru_cache(maxsize=4096)
+@functools.lru_cache(maxsize=CACHE_SIZE)
 def _relays_for(
     name: str, domain: str, relays: tuple[tuple[str, tuple[str, ...]], ...]
 ) -> tuple[str, ...]:
@@ -166,7 +191,10 @@
     missing = RELAYS_PER_PROXY - len(chosen)
     if missing:
         far = [
-            relay for other, names in relays if other != domain for relay in names
+            relay
+            for other, names in relays
+            if other != domain
+            for relay in names
         ]
         chosen += rendezvous_order(far, name, missing)
     return tuple(chosen)
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -8,7 +8,7 @@
 from toucandeal.caller_sessions import ConnectionState, PreparedShape
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
-from toucandeal.lending import choose_lender, lenders
+from toucandeal.lending import choose_lender, lenders, spread_lenders
 from toucandeal.primary_lease import counted_proxies
 from toucandeald.lending_wire import (
     BorrowedAnswer,
@@ -161,6 +161,8 @@
         self._pending: dict[int, defer.Deferred] = {}
         self._connections: dict[int, BorrowedConnection] = {}
         self._no_lender_since: dict[str, float] = {}
+        self._spread_of: dict[str, ProxyRecord] = {}
+        self._spread: dict[tuple[str, int], list[str]] = {}
 
     def lender_names(self, server: Server) -> list[str]:
         """Return the proxies that open connections to a server directly."""
@@ -169,9 +171,32 @@
         if configuration is None or server.group not in configuration.groups:
             return [tables.name]
         limit = configuration.groups[server.group].connection_limit
+        if tables.relay_assignment is not None:
+            return self._spread_lenders(server.name, limit)
         counted = counted_proxies(tables.primary_lease) | {tables.name}
         return lenders(server.name, counted, limit)
 
+    def _spread_lenders(self, server: str, limit: int) -> list[str]:
+        """Return the lenders in a fleet with relays.
+
+        They are computed once for each list of proxies, because that takes a
+        hash for each of hundreds of proxies.
+        """
+        registered = self._tables.primary_lease.registered
+        if registered is not self._spread_of:
+            self._spread_of = registered
+            self._spread.clear()
+        key = (server, limit)
+        if key not in self._spread:
+            domains = {
+                record.name: record.failure_domain
+                for record in registered.values()
+                if not record.silent
+            }
+            domains.setdefault(self._tables.name, self._tables.failure_domain)
+            self._spread[key] = spread_lenders(server, domains, limit)
+        return self._spread[key]
+
     def source(self, server: Server) -> str:
         """Return where this proxy gets connections to a server.
 
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -105,6 +105,7 @@
     gossip = Gossip(tables, state, own)
     borrowing = Borrowing(reactor, tables, own)
     borrowing.send = gossip.send
+    gossip.lender_names = borrowing.lender_names
     pools = ServerPools(reactor, tables, ports.open_link, borrowing)
     lending = Lending(tables, pools, gossip, own)
     gossip.on_borrower_message = lending.received
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from toucandeal.relay_reports import RelaySummary
+from toucandeal.relays import NO_MEMBERSHIP
 from toucandeal.store_versions import StoreVersion
 from toucandeald.lending_wire import (
     BorrowedAnswer,
@@ -15,8 +17,10 @@
     'ConfigurationCopy',
     'FleetMessage',
     'Heartbeat',
+    'LenderDemand',
     'PromotionBegun',
     'RecordsCopy',
+    'RelayHeartbeat',
     'RowCopy',
     'ServersCopy',
     'WorkStopped',
@@ -57,6 +61,29 @@
     store_era: int = 0
 
 
+class RelayHeartbeat(Heartbeat, tag='h', array_like=True):
+    """A heartbeat in a fleet with relays, or during the switch to them.
+
+    `membership` identifies the counted proxies, `uses_relays` is whether the
+    sender uses relays, and `attached` whether it uses the recipient as one.
+    `primary_heard_ages` of a relay are the least among the proxies attached to
+    it. Lenders report `demands` in `LenderDemand` instead.
+    """
+
+    membership: int = NO_MEMBERSHIP
+    uses_relays: bool = False
+    attached: bool = False
+    summary: RelaySummary | None = None
+
+
+class LenderDemand(msgspec.Struct, tag='d', array_like=True):
+    """A lender's demand by server, for the other lenders of these servers."""
+
+    sender: str
+    incarnation: int
+    demands: dict[str, float]
+
+
 class RowCopy(msgspec.Struct, array_like=True):
     """A row of a shared table."""
 
@@ -108,6 +135,8 @@
 
 FleetMessage = (
     Heartbeat
+    | RelayHeartbeat
+    | LenderDemand
     | RecordsCopy
     | ConfigurationCopy
     | ServersCopy
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -1,30 +1,43 @@
-"""Heartbeats between proxies: liveness, leases and outdated copies."""
+"""Heartbeats between proxies: liveness, leases and outdated copies.
+
+With 40 proxies or fewer, each sends a heartbeat to each other one. In larger
+fleets, proxies exchange them with a few relays (:mod:`toucandeal.relays`).
+"""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
-from toucandeal.copy_schedule import (
-    CopySchedule,
-    OutdatedPeer,
-    copy_is_due,
-    copy_rank,
-)
-from toucandeal.fleet import ProxyRecord
-from toucandeal.fleet_tables import FleetTables, PeerView, server_load
+from toucandeal.fleet import ProxyRecord, Server
+from toucandeal.fleet_tables import FleetTables, PeerView
 from toucandeal.primary_lease import (
     PeerLeaseReport,
-    counted_proxies,
     renew_from_peer,
 )
+from toucandeal.relay_views import (
+    RelayExchange,
+    apply_summaries,
+    differs_from_relays,
+    receive_report,
+    relay_recipients,
+    sends_to_all,
+    update_assignment,
+)
 from toucandeald.fleet_wire import (
     ConfigurationCopy,
     Heartbeat,
+    LenderDemand,
     PromotionBegun,
     RecordsCopy,
-    RowCopy,
+    RelayHeartbeat,
     ServersCopy,
     WorkStopped,
 )
+from toucandeald.heartbeat_content import (
+    heartbeat_for,
+    lender_demands,
+    new_heartbeat,
+    relay_report,
+)
 from toucandeald.lending_wire import (
     BorrowedAnswer,
     BorrowedRequest,
@@ -33,10 +46,9 @@
     LoanReturn,
 )
 from toucandeald.logs import log_event
+from toucandeald.peer_copies import PeerCopies, shared_rows
 from toucandeald.peers import PeerSockets
-from toucandeald.shared_records import proxy_key
 from toucandeald.shared_state import SharedState
-from toucandeald.shared_store import SharedRow
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = ['HEARTBEAT_INTERVAL_S', 'Gossip']
@@ -44,21 +56,7 @@
 HEARTBEAT_INTERVAL_S = 0.25
 PEER_SILENT_S = 1.0  # a peer that is silent for longer is not live
 PEER_FORGOTTEN_S = 30.0
-SENDER_INTERVAL_S = 0.1  # between two proxies that may send a peer a copy
-RECORDS_SENDER_INTERVAL_S = 0.05  # shorter: leases depend on the records
-RECORDS_RETRY_INTERVAL_S = 0.4  # above heartbeat interval plus network delay
-STORE_READ_TIME_S = 0.5  # for a peer's own read of the store on a narrow link
-COPY_RETRY_INTERVAL_S = 3.0  # a 256 KB copy takes 0.5 s on the narrowest link
-RECORDS_SCHEDULE = CopySchedule(
-    0, RECORDS_SENDER_INTERVAL_S, RECORDS_RETRY_INTERVAL_S
-)
-CONFIGURATION_SCHEDULE = CopySchedule(
-    STORE_READ_TIME_S, 2 * SENDER_INTERVAL_S, COPY_RETRY_INTERVAL_S
-)
-SERVERS_SCHEDULE = CopySchedule(
-    STORE_READ_TIME_S, SENDER_INTERVAL_S, COPY_RETRY_INTERVAL_S
-)
-MIN_DEMAND = 0.1  # in connections; smaller demands are not reported
+LENDER_DEMAND_INTERVAL_S = 0.5
 
 
 class Gossip:
@@ -77,13 +75,16 @@
         self.on_lender_message: Callable[[LoanReply | BorrowedAnswer], None] = (
             _ignore
         )
+        self.lender_names: Callable[[Server], list[str]] = _no_lenders
         self.none_begun_sent_at = steady_seconds()
         self._tables = tables
         self._state = state
         self._own = own
+        self._copies = PeerCopies(tables, state, self.send)
+        self._relays = RelayExchange(own.name)
         self._last_heartbeats: dict[str, tuple[Heartbeat, float]] = {}
         self._contacted: set[str] = set()
-        self._outdated: dict[tuple[str, CopySchedule], OutdatedPeer] = {}
+        self._demands_sent_at = -LENDER_DEMAND_INTERVAL_S
 
     @property
     def own_address(self) -> str:
@@ -92,30 +93,71 @@
 
     def contact_new_peers(self) -> None:
         """Send heartbeats if a peer has not been sent any yet."""
-        if not self._contacted >= self.addresses().keys():
+        if not self._contacted >= self._recipients(steady_seconds()).keys():
             self.send_heartbeats()
 
     def send_heartbeats(self) -> None:
-        """Send a heartbeat to all peers, and remove those that are silent.
+        """Send heartbeats, and remove the peers that are silent.
 
         A peer is removed `PEER_FORGOTTEN_S` after its last heartbeat.
         """
         now = steady_seconds()
+        self._forget_silent(now)
+        self._update_relays(now)
+        recipients = self._recipients(now)
+        self._contacted = set(recipients)
+        self.sockets.keep_only(set(self.addresses().values()))
+        if self._relays.in_use:
+            self._send_demands(now)
+        if recipients and not self._tables.primary_lease.promoting_groups:
+            self.none_begun_sent_at = now
+        common = new_heartbeat(
+            self._tables, self._state, self._own, self._relays, now
+        )
+        for name, address in recipients.items():
+            last = self._last_heartbeats.get(name)
+            self.send(
+                address,
+                heartbeat_for(common, name, last),
+            )
+
+    def _forget_silent(self, now: float) -> None:
         for name, peer in list(self._tables.peers.items()):
             if now - peer.heard_at > PEER_FORGOTTEN_S:
                 self._tables.peers.pop(name)
                 self._last_heartbeats.pop(name, None)
+
+    def _recipients(self, now: float) -> dict[str, str]:
+        """Return the addresses, by name, of the peers to send heartbeats to."""
+        addresses = self.addresses()
+        if sends_to_all(self._relays, now):
+            return addresses
+        names = relay_recipients(self._relays, now)
+        return {name: addresses[name] for name in names & addresses.keys()}
+
+    def _update_relays(self, now: float) -> None:
+        relays = self._relays
+        update_assignment(relays, self._tables, now)
+        if relays.is_active(now):
+            apply_summaries(relays, self._tables, now)
+        self._state.membership_differs = relays.in_use and differs_from_relays(
+            relays, now
+        )
+
+    def _send_demands(self, now: float) -> None:
+        if now - self._demands_sent_at < LENDER_DEMAND_INTERVAL_S:
+            return
+        self._demands_sent_at = now
         addresses = self.addresses()
-        self._contacted = set(addresses)
-        self.sockets.keep_only(set(addresses.values()))
-        counted = counted_proxies(self._tables.primary_lease)
-        demands = {
-            server: round(load.demand, 1)
-            for server, load in self._tables.loads.items()
-            if load.demand > MIN_DEMAND and server in self._tables.servers
-        }
-        for name, address in addresses.items():
-            self._send_heartbeat(name, address, now, counted, demands)
+        demands = lender_demands(self._tables, self.lender_names)
+        for name, by_server in demands.items():
+            if name in addresses:
+                self.send(
+                    addresses[name],
+                    LenderDemand(
+                        self._own.name, self._own.incarnation, by_server
+                    ),
+                )
 
     def addresses(self) -> dict[str, str]:
         """Return the addresses, by name, of peers registered or heard."""
@@ -141,16 +183,18 @@
         match message:
             case Heartbeat():
                 self._apply_heartbeat(message)
+            case LenderDemand():
+                self._apply_demands(message)
             case RecordsCopy():
-                self._state.apply_record_rows(_rows(message.rows))
+                self._state.apply_record_rows(shared_rows(message.rows))
             case ConfigurationCopy():
                 self._state.apply_configuration(message.content)
             case ServersCopy():
                 self._state.server_list.apply_snapshot(
-                    _rows(message.rows), message.version
+                    shared_rows(message.rows), message.version
                 )
             case PromotionBegun():
-                self._state.apply_record_rows(_rows([message.record]))
+                self._state.apply_record_rows(shared_rows([message.record]))
                 self.on_promotion_begun(message)
             case WorkStopped():
                 self.on_work_stopped(message)
@@ -161,71 +205,10 @@
 
     def send_records(self) -> None:
         """Send the records to all peers without awaiting their heartbeats."""
-        copy = RecordsCopy(self._own.name, _copies(self._record_rows()))
+        copy = self._copies.records_copy()
         for address in self.addresses().values():
             self.send(address, copy)
 
-    def _record_rows(self) -> Iterable[SharedRow]:
-        """Return the rows to send; proxies read the proxy list themselves."""
-        return [
-            row
-            for key, row in self._state.records.items()
-            if not key.startswith(proxy_key(''))
-        ]
-
-    def _send_heartbeat(
-        self,
-        name: str,
-        address: str,
-        now: float,
-        counted: set[str],
-        demands: dict[str, float],
-    ) -> None:
-        last = self._last_heartbeats.get(name)
-        primary_lease = self._tables.primary_lease
-        none_begun = not primary_lease.promoting_groups
-        if none_begun:
-            self.none_begun_sent_at = now
-        configuration = self._tables.configuration
-        self.send(
-            address,
-            Heartbeat(
-                sender=self._own.name,
-                incarnation=self._own.incarnation,
-                address=self._own.address,
-                sent_at=now,
-                echo=last[0].sent_at if last else 0,
-                echo_incarnation=last[0].incarnation if last else 0,
-                echo_age=now - last[1] if last else 0,
-                draining=self._tables.draining,
-                lease_age=min(
-                    now - primary_lease.store_as_of, PEER_FORGOTTEN_S
-                ),
-                counts_recipient=name in counted,
-                confirms_none_begun=none_begun,
-                records_version=self._state.records_version,
-                configuration_version=(
-                    0 if configuration is None else configuration.version
-                ),
-                servers_version=self._state.server_list.version,
-                primary_heard_ages=self._primary_heard_ages(now),
-                demands=demands,
-                failure_domain=self._tables.failure_domain,
-                store_era=self._state.era,
-            ),
-        )
-
-    def _primary_heard_ages(self, now: float) -> dict[str, float]:
-        ages = {
-            group.name: now
-            - server_load(self._tables, group.record.primary).heard_at
-            for group in self._tables.groups.values()
-            if group.record is not None
-        }
-        return {
-            name: age for name, age in ages.items() if age < PEER_FORGOTTEN_S
-        }
-
     def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = steady_seconds()
         known = self._tables.peers.get(heartbeat.sender)
@@ -247,14 +230,45 @@
                 name: now - age
                 for name, age in heartbeat.primary_heard_ages.items()
             },
-            heartbeat.demands,
+            self._demands(heartbeat, known),
             heartbeat.failure_domain,
             heartbeat.store_era,
         )
         self._state.note_era(heartbeat.store_era)
+        sent_after = -math.inf
         if heartbeat.echo_incarnation == self._own.incarnation:
-            self._renew_lease(heartbeat, heartbeat.echo + heartbeat.echo_age)
-        self._update_peer(heartbeat)
+            sent_after = heartbeat.echo + heartbeat.echo_age
+            self._renew_lease(heartbeat, sent_after)
+        if isinstance(heartbeat, RelayHeartbeat):
+            receive_report(
+                self._relays,
+                self._tables,
+                relay_report(heartbeat, sent_after),
+                self._state.records_version,
+                now,
+            )
+        self._copies.update_peer(heartbeat)
+
+    def _demands(
+        self, heartbeat: Heartbeat, known: PeerView | None
+    ) -> Mapping[str, float]:
+        """Return a peer's demands, from its heartbeat or as a lender."""
+        if (
+            known is not None
+            and isinstance(heartbeat, RelayHeartbeat)
+            and known.incarnation == heartbeat.incarnation
+            and not heartbeat.demands
+        ):
+            return known.demands
+        return heartbeat.demands
+
+    def _apply_demands(self, message: LenderDemand) -> None:
+        peer = self._tables.peers.get(message.sender)
+        if peer is not None and peer.incarnation == message.incarnation:
+            self._relays.demands_heard_at[peer.name] = steady_seconds()
+            self._tables.peers[peer.name] = peer._replace(
+                demands=message.demands
+            )
 
     def _renew_lease(self, heartbeat: Heartbeat, sent_after: float) -> None:
         """Renew the lease from a heartbeat that was sent after `sent_after`."""
@@ -274,76 +288,10 @@
                 sent_after,
             )
 
-    def _update_peer(self, heartbeat: Heartbeat) -> None:
-        """Send a peer copies of its outdated tables when they are due."""
-        name = self._own.name
-        state = self._state
-        configuration = self._tables.configuration
-        version = 0 if configuration is None else configuration.version
-        if self._copy_is_due(
-            heartbeat,
-            RECORDS_SCHEDULE,
-            heartbeat.records_version < state.records_version,
-        ):
-            self.send(
-                heartbeat.address,
-                RecordsCopy(name, _copies(self._record_rows())),
-            )
-        if self._copy_is_due(
-            heartbeat,
-            CONFIGURATION_SCHEDULE,
-            heartbeat.configuration_version < version,
-        ):
-            self.send(
-                heartbeat.address,
-                ConfigurationCopy(name, state.configuration_content),
-            )
-        if self._copy_is_due(
-            heartbeat,
-            SERVERS_SCHEDULE,
-            heartbeat.servers_version < state.server_list.version,
-        ):
-            rows = [
-                row
-                for row in state.server_list.rows.values()
-                if not row.removed
-            ]
-            self.send(
-                heartbeat.address,
-                ServersCopy(name, state.server_list.version, _copies(rows)),
-            )
-
-    def _copy_is_due(
-        self, heartbeat: Heartbeat, schedule: CopySchedule, is_outdated: bool
-    ) -> bool:
-        key = (heartbeat.sender, schedule)
-        if not is_outdated:
-            self._outdated.pop(key, None)
-            return False
-        now = steady_seconds()
-        outdated = self._outdated.setdefault(key, OutdatedPeer(now, -math.inf))
-        # No other proxy may have the records that this one has just read.
-        reads = (
-            schedule is RECORDS_SCHEDULE
-            and self._state.reads_records_itself(now)
-        )
-        rank = (
-            0
-            if reads
-            else copy_rank(self._own.name, heartbeat.sender, self._tables.peers)
-        )
-        due = copy_is_due(outdated, rank, schedule, now)
-        if due:
-            self._outdated[key] = outdated._replace(sent_at=now)
-        return due
-
-
-def _copies(rows: Iterable[SharedRow]) -> list[RowCopy]:
-    return [RowCopy(row.key, row.content, row.version) for row in rows]
-
 
-def _rows(copies: Iterable[RowCopy]) -> list[SharedRow]:
-    return [SharedRow(copy.key, copy.content, copy.version) for copy in copies]
+def _no_lenders(server: Server) -> list[str]:
+    """Return that no proxy lends connections to a server."""
+    return []
 
 
 def _ignore(message) -> None:
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/peer_copies.py
@@ -0,0 +1,154 @@
+"""Copies of shared rows for peers whose heartbeats report older ones."""
+
+import math
+from collections.abc import Callable, Iterable
+
+from toucandeal.copy_schedule import (
+    CopySchedule,
+    OutdatedPeer,
+    copy_is_due,
+    copy_rank,
+)
+from toucandeal.fleet_tables import FleetTables
+from toucandeald.fleet_wire import (
+    ConfigurationCopy,
+    Heartbeat,
+    RecordsCopy,
+    RowCopy,
+    ServersCopy,
+)
+from toucandeald.shared_records import proxy_key
+from toucandeald.shared_state import SharedState
+from toucandeald.shared_store import SharedRow
+from toucandeald.steady_clock import steady_seconds
+
+__all__ = ['PeerCopies', 'shared_rows']
+
+SENDER_INTERVAL_S = 0.1  # between two proxies that may send a peer a copy
+RECORDS_SENDER_INTERVAL_S = 0.05  # shorter: leases depend on the records
+RECORDS_RETRY_INTERVAL_S = 0.4  # above heartbeat interval plus network delay
+STORE_READ_TIME_S = 0.5  # for a peer's own read of the store on a narrow link
+COPY_RETRY_INTERVAL_S = 3.0  # a 256 KB copy takes 0.5 s on the narrowest link
+RECORDS_SCHEDULE = CopySchedule(
+    0, RECORDS_SENDER_INTERVAL_S, RECORDS_RETRY_INTERVAL_S
+)
+CONFIGURATION_SCHEDULE = CopySchedule(
+    STORE_READ_TIME_S, 2 * SENDER_INTERVAL_S, COPY_RETRY_INTERVAL_S
+)
+SERVERS_SCHEDULE = CopySchedule(
+    STORE_READ_TIME_S, SENDER_INTERVAL_S, COPY_RETRY_INTERVAL_S
+)
+
+
+class PeerCopies:
+    """Sends copies of the shared rows to outdated peers on schedule."""
+
+    def __init__(
+        self,
+        tables: FleetTables,
+        state: SharedState,
+        send: Callable[[str, object], None],
+    ) -> None:
+        """Initialize with the state to copy and the function that sends."""
+        self._tables = tables
+        self._state = state
+        self._send = send
+        self._outdated: dict[tuple[str, CopySchedule], OutdatedPeer] = {}
+
+    def records_copy(self) -> RecordsCopy:
+        """Return the records, without the proxies.
+
+        Proxies read the list of proxies themselves.
+        """
+        rows = [
+            row
+            for key, row in self._state.records.items()
+            if not key.startswith(proxy_key(''))
+        ]
+        return RecordsCopy(self._tables.name, _copies(rows))
+
+    def update_peer(self, heartbeat: Heartbeat) -> None:
+        """Send a peer copies of its outdated tables when they are due."""
+        state = self._state
+        if self._is_due(
+            heartbeat,
+            RECORDS_SCHEDULE,
+            heartbeat.records_version < state.records_version,
+        ):
+            self._send(heartbeat.address, self.records_copy())
+        if not self._may_send_tables():
+            return
+        configuration = self._tables.configuration
+        version = 0 if configuration is None else configuration.version
+        if self._is_due(
+            heartbeat,
+            CONFIGURATION_SCHEDULE,
+            heartbeat.configuration_version < version,
+        ):
+            self._send(
+                heartbeat.address,
+                ConfigurationCopy(
+                    self._tables.name, state.configuration_content
+                ),
+            )
+        if self._is_due(
+            heartbeat,
+            SERVERS_SCHEDULE,
+            heartbeat.servers_version < state.server_list.version,
+        ):
+            rows = [
+                row
+                for row in state.server_list.rows.values()
+                if not row.removed
+            ]
+            self._send(
+                heartbeat.address,
+                ServersCopy(
+                    self._tables.name, state.server_list.version, _copies(rows)
+                ),
+            )
+
+    def _may_send_tables(self) -> bool:
+        """Return whether this proxy sends the configuration and the servers.
+
+        In a fleet with relays they go from relays to the others only.
+        """
+        assignment = self._tables.relay_assignment
+        return assignment is None or assignment.is_relay(self._tables.name)
+
+    def _is_due(
+        self, heartbeat: Heartbeat, schedule: CopySchedule, is_outdated: bool
+    ) -> bool:
+        key = (heartbeat.sender, schedule)
+        if not is_outdated:
+            self._outdated.pop(key, None)
+            return False
+        now = steady_seconds()
+        outdated = self._outdated.setdefault(key, OutdatedPeer(now, -math.inf))
+        # No other proxy may have the records that this one has just read.
+        reads = (
+            schedule is RECORDS_SCHEDULE
+            and self._state.reads_records_itself(now)
+        )
+        rank = 0 if reads else self._rank(heartbeat.sender)
+        due = copy_is_due(outdated, rank, schedule, now)
+        if due:
+            self._outdated[key] = outdated._replace(sent_at=now)
+        return due
+
+    def _rank(self, peer: str) -> int:
+        """Return the rank among the proxies that hear a peer's heartbeats."""
+        senders: Iterable[str] = self._tables.peers
+        assignment = self._tables.relay_assignment
+        if assignment is not None:
+            senders = assignment.relays_of.get(peer, assignment.attached)
+        return copy_rank(self._tables.name, peer, senders)
+
+
+def shared_rows(copies: Iterable[RowCopy]) -> list[SharedRow]:
+    """Return the rows of which a peer has sent copies."""
+    return [SharedRow(copy.key, copy.content, copy.version) for copy in copies]
+
+
+def _copies(rows: Iterable[SharedRow]) -> list[RowCopy]:
+    return [RowCopy(row.key, row.content, row.version) for row in rows]
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -6,12 +6,11 @@
 renew their leases from its heartbeats as long as they receive them.
 """
 
+import bisect
 import math
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-import xxhash
-
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import (
     FleetConfiguration,
@@ -29,6 +28,12 @@
     lease_expires_at,
     record_store_read,
 )
+from toucandeal.read_schedule import (
+    OWN_READ_INTERVAL_S,
+    RELAYED_LEASE_AGE_S,
+    ReadNeeds,
+    read_is_due,
+)
 from toucandeal.store_versions import NO_VERSION, StoreVersion
 from toucandeald.background_tasks import keep_running
 from toucandeald.logs import log_event
@@ -55,18 +60,10 @@
 SHORT_WAIT_PROXIES = 2  # use FEED_WAIT_S; two, so that one may be isolated
 RETRY_DELAY_S = 0.15  # after a call that the store did not answer
 MAX_RETRY_DELAY_S = 0.6  # while the store keeps failing calls
-READ_INTERVAL_S = 0.3  # of the proxy that reads the records for its peers
-RELAYED_LEASE_AGE_S = 0.6  # an older lease is renewed by an own read
-RANK_DELAY_S = 0.05  # added per rank, so that proxies do not all read at once
-OWN_READ_INTERVAL_S = 3.0  # peers do not relay the registered proxies
-# Part of the interval by which those of different proxies differ, so that
-# proxies that start together do not all read together.
-INTERVAL_SPREAD = 0.2
 # Between two proxies that read a table again after the store dropped the
 # changes that all of them wait for.
 REREAD_SPACING_S = 0.002
 CHECK_INTERVAL_S = 0.05
-HASH_RANGE = 18_446_744_073_709_551_616
 
 
 class SharedTables(NamedTuple):
@@ -113,6 +110,8 @@
         self.server_list = ServerList(tables, shared.decode_server)
         self.unconfirmed: Records | None = None
         self.confirmed_era = 0
+        # Whether a relay has reported another membership than this proxy's.
+        self.membership_differs = False
         self.configuration_content = b''
         self.store_reachable = False
         self._clock = clock
@@ -121,9 +120,6 @@
         self._shared = shared
         self._own = own
         self.server_list_complete_at = math.inf
-        self._own_read_interval_s = OWN_READ_INTERVAL_S * (
-            1 - INTERVAL_SPREAD * _fraction(own.name)
-        )
         self._read_at = -OWN_READ_INTERVAL_S
         # Of all rows at the last read, whether their records are valid or not.
         self._row_versions: dict[str, StoreVersion] = {}
@@ -361,7 +357,12 @@
         from a copy may have given out `version` again, so its changes after it
         are not complete.
         """
-        uses_short_wait = self.rank() < SHORT_WAIT_PROXIES
+        assignment = self._tables.relay_assignment
+        uses_short_wait = (
+            self.rank() < SHORT_WAIT_PROXIES
+            if assignment is None
+            else assignment.is_relay(self._own.name)
+        )
         changes = await self._store.changes(
             table,
             version,
@@ -414,34 +415,39 @@
         )
 
     def rank(self) -> int:
-        """Return this proxy's rank by name among the peers that it hears."""
+        """Return this proxy's rank by name among the peers that it hears.
+
+        In a fleet with relays, a relay has its rank among the relays, and
+        every other proxy comes after them.
+        """
+        assignment = self._tables.relay_assignment
+        if assignment is not None:
+            relays = sorted(assignment.attached)
+            if assignment.is_relay(self._own.name):
+                return relays.index(self._own.name)
+            others = sorted(assignment.relays_of)
+            index = bisect.bisect(others, self._own.name)
+            return len(relays) + index
         return sum(name < self._own.name for name in self._tables.peers)
 
     def _read_is_due(self, now: float) -> bool:
         primary_lease = self._tables.primary_lease
-        elapsed_s = now - self._read_at
-        if not self.records_confirmed:
-            return elapsed_s >= min(
-                READ_INTERVAL_S + self.rank() * RANK_DELAY_S,
-                self._own_read_interval_s,
+        assignment = self._tables.relay_assignment
+        unregistered = self._tables.peers.keys() - primary_lease.registered
+        return read_is_due(
+            ReadNeeds(
+                self._own.name,
+                now - self._read_at,
+                now - primary_lease.store_as_of,
+                self.rank(),
+                self.records_confirmed,
+                misses_proxies=bool(unregistered),
+                with_relays=assignment is not None,
+                is_relay=assignment is not None
+                and assignment.is_relay(self._own.name),
+                membership_differs=self.membership_differs,
             )
-        unregistered = set(self._tables.peers) - set(primary_lease.registered)
-        if elapsed_s >= self._own_read_interval_s or (
-            unregistered and elapsed_s >= READ_INTERVAL_S
-        ):
-            return True
-        rank = self.rank()
-        due_s = (
-            RELAYED_LEASE_AGE_S + rank * RANK_DELAY_S
-            if rank
-            else READ_INTERVAL_S
         )
-        return now - primary_lease.store_as_of >= due_s
-
-
-def _fraction(name: str) -> float:
-    """Return a number from 0 to 1 that differs between names."""
-    return xxhash.xxh3_64_intdigest(name.encode()) / HASH_RANGE
 
 
 def _ignore(record: GroupRecord, expires_at: float) -> None:
--- a/packages/toucandeald/src/toucandeald/silent_proxies.py
+++ b/packages/toucandeald/src/toucandeald/silent_proxies.py
@@ -2,6 +2,7 @@
 
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables
+from toucandeal.relays import marking_rank
 from toucandeald.background_tasks import run_in_background
 from toucandeald.shared_state import SharedState
 
@@ -34,9 +35,15 @@
             if record.silent:
                 if now - since >= FORGET_S:
                     self._start_write(self._state.registry.remove(record))
-            elif now - since >= SILENT_S + self._rank() * RANK_DELAY_S:
+            elif self._mark_is_due(record, now - since):
                 self._start_write(self._mark_silent(record))
 
+    def _mark_is_due(self, record: ProxyRecord, silent_s: float) -> bool:
+        if silent_s < SILENT_S:
+            return False
+        rank = self._rank(record)
+        return rank is not None and silent_s >= SILENT_S + rank * RANK_DELAY_S
+
     async def _mark_silent(self, record: ProxyRecord) -> None:
         if await self._state.registry.mark_silent(record):
             await self._state.read_records()
@@ -50,7 +57,18 @@
             self._last_heard_at[record.name] = peer.heard_at
         return self._last_heard_at.setdefault(record.name, now)
 
-    def _rank(self) -> int:
+    def _rank(self, record: ProxyRecord) -> int | None:
+        """Return the rank among the proxies that may mark `record`.
+
+        In a fleet with relays only those that exchange heartbeats with it
+        know whether it is silent. None means that this proxy does not.
+        """
+        assignment = self._tables.relay_assignment
+        if assignment is not None:
+            return marking_rank(assignment, self._tables.name, record.name)
+        return self._rank_by_name()
+
+    def _rank_by_name(self) -> int:
         registered = self._tables.primary_lease.registered
         live = sorted(
             record.name
