--- a/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
@@ -82,7 +82,8 @@
         """Run the calls of the next `seconds`."""
         until = self.now + seconds
         while self._calls and self._calls[0][0] <= until:
-            self.now, _, timer = heapq.heappop(self._calls)
+            due_at, _, timer = heapq.heappop(self._calls)
+            self.now = due_at
             if timer.pending:
                 timer.pending = False
                 timer.function(*timer.args)
