--- a/packages/toucandeal/src/toucandeal/tests/test_relay_leases.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_relay_leases.py
@@ -46,6 +46,7 @@
 
 NAMES = tuple(f'p{number}' for number in range(8))
 JOINING = 'p8'
+NONE: frozenset[str] = frozenset()
 SMALL_FLEET = pytest.MonkeyPatch()
 
 
@@ -186,14 +187,14 @@
             sent_after = -math.inf  # the echo is of an earlier incarnation
         proxy.receive(sent_after, content, self.now)
 
-    def round(self, lost=frozenset()):
+    def round(self, lost=NONE):
         """Let all proxies but the `lost` ones send, one after another."""
         for name in self.proxies:
             for message in self.outgoing(name):
                 if not lost & {message[0], message[1]}:
                     self.deliver(message)
 
-    def rounds(self, count, lost=frozenset()):
+    def rounds(self, count, lost=NONE):
         """Let heartbeats pass for a number of intervals."""
         for _ in range(count):
             self.now += 0.25
@@ -255,7 +256,7 @@
     name, _ = attached_and_relay(fleet)
     fleet.proxies[name].lease.promoting_groups.add('g')
     fleet.rounds(4)
-    assert max(map(fleet.lease_left_s, set(NAMES) - {name})) < 0
+    assert max(map(fleet.lease_left_s, _others(name))) < 0
 
 
 def test_a_proxy_that_is_not_heard_ends_the_leases_that_relays_confirm():
@@ -286,7 +287,7 @@
     fleet.start(name, 2)
     fleet.read(name)
     fleet.rounds(8)
-    assert max(map(fleet.lease_left_s, set(NAMES) - {name})) < 0
+    assert max(map(fleet.lease_left_s, _others(name))) < 0
     for reader in NAMES:
         fleet.read(reader)
     fleet.rounds(8)
@@ -306,7 +307,7 @@
 def test_a_lease_from_one_relay_suffices_while_the_other_is_lost():
     fleet = Fleet()
     name, relay = attached_and_relay(fleet)
-    others = set(NAMES) - {relay}
+    others = _others(relay)
     for _ in range(12):
         for reader in fleet.proxies['p0'].tables.relay_assignment.attached:
             if reader != relay:
@@ -330,6 +331,10 @@
     assert _may_begin(fleet, JOINING)
 
 
+def _others(name):
+    return tuple(other for other in NAMES if other != name)
+
+
 def _may_begin(fleet, name):
     proxy = fleet.proxies[name]
     counted_by = {
@@ -450,9 +455,7 @@
         registered = self.fleet.proxies[self.promotion[0]].lease.registered
         for name in names:
             if name in registered:
-                apply_record(
-                    self.fleet.proxies[name].tables, self.fleet.record
-                )
+                apply_record(self.fleet.proxies[name].tables, self.fleet.record)
 
     @precondition(lambda self: self.promotion and self._may_take_effect())
     @rule()
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -442,7 +442,9 @@
                 now - primary_lease.store_as_of,
                 self.rank() if needs_rank else 0,
                 self.records_confirmed,
-                misses_proxies=not self._tables.peers.keys() <= registered,
+                # Relays hear newcomers, and read often in any case.
+                misses_proxies=assignment is None
+                and not self._tables.peers.keys() <= registered,
                 with_relays=assignment is not None,
                 is_relay=assignment is not None
                 and assignment.is_relay(self._own.name),
--- a/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
@@ -14,7 +14,7 @@
 
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import GroupRecord, ProxyRecord
-from toucandeal.fleet_tables import FleetTables
+from toucandeal.fleet_tables import FleetTables, server_load
 from toucandeal.primary_lease import lease_expires_at, may_use_primary
 from toucandeal.store_versions import NO_VERSION, StoreVersion
 from toucandeald.fleet_wire import FleetMessage
@@ -37,7 +37,8 @@
 FAR_S = 0.02
 CALL_S = 0.01
 TICK_S = 0.05
-GROUP = 'g'
+GROUP = 'g0'
+GROUPS = tuple(f'g{number}' for number in range(4))
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(FleetMessage).decode
 
@@ -221,9 +222,9 @@
         self.clock = VirtualClock()
         self.store = Store(self.clock)
         self.store.put(ERA_KEY, encode_era(1))
-        self.store.put(
-            group_key(GROUP), encode_group(GroupRecord(GROUP, 'a', 1))
-        )
+        for group in GROUPS:
+            record = GroupRecord(group, f'{group}-primary', 1)
+            self.store.put(group_key(group), encode_group(record))
         self.proxies = {}
         self.cut = set()
         self.cut_from_store = set()
@@ -334,6 +335,9 @@
 
     def _tick(self, proxy):
         proxy.gossip.contact_new_peers()
+        for group in GROUPS:
+            load = server_load(proxy.tables, f'{group}-primary')
+            load.heard_at = self.clock.now
 
 
 def hash_of(name):
