--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -10,6 +10,7 @@
 from toucandeal.fleet import FleetConfiguration, GroupRecord, Server
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.primary_lease import PrimaryLease, may_use_primary
+from toucandeal.relays import RelayAssignment
 from toucandeal.staleness import History, Sample, add_sample
 
 __all__ = [
@@ -81,6 +82,9 @@
 class PeerView(NamedTuple):
     """Another proxy, as of its last heartbeat.
 
+    In a fleet with relays, a proxy that exchanges no heartbeats with this one
+    is described by its registered row and by the relays' summaries.
+
     `demands` is the number of connections that it could use, by server.
     """
 
@@ -97,7 +101,10 @@
 
 
 class FleetTables:
-    """All tables of one proxy."""
+    """All tables of one proxy.
+
+    `relay_assignment` is None while all proxies exchange heartbeats.
+    """
 
     def __init__(self, name: str, failure_domain: str) -> None:
         """Start with empty tables."""
@@ -111,6 +118,7 @@
         self.primary_lease = PrimaryLease(name)
         self.configuration_freshness = ConfigurationFreshness()
         self.draining = False
+        self.relay_assignment: RelayAssignment | None = None
 
 
 def group_state(tables: FleetTables, name: str) -> GroupState:
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -1,14 +1,19 @@
 """Server connections that other proxies lend to this one."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from twisted.internet import defer
 
 from toucandeal.caller_sessions import ConnectionState, PreparedShape
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
-from toucandeal.lending import choose_lender, domain_lenders, lenders
+from toucandeal.lending import (
+    choose_lender,
+    domain_lenders,
+    lenders,
+    spread_lenders,
+)
 from toucandeal.primary_lease import counted_proxies
 from toucandeald.lending_wire import (
     BorrowedAnswer,
@@ -51,6 +56,7 @@
 )
 
 Send = Callable[[object], None]
+SelectLenders = Callable[[str, Mapping[str, str], int], list[str]]
 
 
 class BorrowedConnection:
@@ -161,6 +167,8 @@
         self._pending: dict[int, defer.Deferred] = {}
         self._connections: dict[int, BorrowedConnection] = {}
         self._no_lender_since: dict[str, float] = {}
+        self._selected_of: dict[str, ProxyRecord] = {}
+        self._selected: dict[tuple[str, int, SelectLenders], list[str]] = {}
 
     def lender_names(self, server: Server) -> list[str]:
         """Return the proxies that open connections to a server directly."""
@@ -169,17 +177,37 @@
         if configuration is None or server.group not in configuration.groups:
             return [tables.name]
         limit = configuration.groups[server.group].connection_limit
-        counted = counted_proxies(tables.primary_lease) | {tables.name}
-        if not configuration.workspaces:
+        in_large_fleet = tables.relay_assignment is not None
+        if not (in_large_fleet or configuration.workspaces):
+            counted = counted_proxies(tables.primary_lease) | {tables.name}
             return lenders(server.name, counted, limit)
-        registered = tables.primary_lease.registered
-        domains = {
-            name: registered[name].failure_domain
-            for name in counted
-            if name in registered
-        }
-        domains[tables.name] = tables.failure_domain
-        return domain_lenders(server.name, domains, limit)
+        selection = (
+            domain_lenders if configuration.workspaces else spread_lenders
+        )
+        return self._lenders_of_domains(server.name, limit, selection)
+
+    def _lenders_of_domains(
+        self, server: str, limit: int, selection: SelectLenders
+    ) -> list[str]:
+        """Return the lenders where they are chosen by failure domain.
+
+        They are computed once for each list of proxies, because that takes a
+        hash for each of up to hundreds of proxies.
+        """
+        registered = self._tables.primary_lease.registered
+        if registered is not self._selected_of:
+            self._selected_of = registered
+            self._selected.clear()
+        key = (server, limit, selection)
+        if key not in self._selected:
+            domains = {
+                record.name: record.failure_domain
+                for record in registered.values()
+                if not record.silent
+            }
+            domains.setdefault(self._tables.name, self._tables.failure_domain)
+            self._selected[key] = selection(server, domains, limit)
+        return self._selected[key]
 
     def source(self, server: Server, workspace: str = '') -> str:
         """Return where this proxy gets a workspace's connections to a server.
