Decide by measured waits which reads leave the failure domain

A constant factor of 1.3 decided whether a read goes to a server of another failure domain. It knows neither the distance nor what crossing costs, and it sends reads away that their own domain would have served in time.

With `crossing_cost_s` set, each proxy decides every 0.25 s for each group what share of its reads leaves. The share follows the part of the demand that the own domain's servers do not serve, plus a term for the backlog, rises by at most 0.2 in a step and falls by a twentieth of itself. Only reads that would take more than half of their objective at home leave; the reads that leave are spread over the open servers in inverse proportion to their expected waits. Heartbeats carry the shares. A domain announces its share 0.9 s before the first read leaves, and a domain that announces one is sent no reads, so two domains do not send to each other. Without the setting the constant factor decides as before.

Ruled out: a share that follows the wait alone. A queue integrates its load, so with evidence 1 s old such a share either oscillates or takes seconds to drain 0.2 s of backlog. Also ruled out: comparing ranks at each moment, because two rising shares each look higher than the other's older one.

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -6,12 +6,14 @@
 from typing import NamedTuple
 
 from toucandeal.backoff import Backoff
+from toucandeal.domain_crossing import NOT_CROSSING, Crossing
 from toucandeal.fleet import FleetConfiguration, GroupRecord, Server
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.primary_lease import PrimaryLease, may_use_primary
 from toucandeal.staleness import History, Sample, add_sample
 
 __all__ = [
+    'CrossingState',
     'FleetTables',
     'GroupState',
     'PeerView',
@@ -28,6 +30,7 @@
 
 INITIAL_LATENCY_S = 0.01  # assumed until the first measurement
 LATENCY_WEIGHT = 0.2  # of a new measurement in the moving average
+ROUND_TRIP_WINDOW_S = 10  # in which the least round trip is sought
 
 
 class ServerLoad:
@@ -42,6 +45,7 @@
         self.waiting = 0
         self.demand = 0.0
         self.latency_s = INITIAL_LATENCY_S
+        self.latency_at = -math.inf
         self.held: LogPosition = NOTHING_SEEN
         self.received: LogPosition = NOTHING_SEEN
         self.heard_at = -math.inf
@@ -49,10 +53,57 @@
         self.lagging_until = -math.inf
         self.avoided_until = -math.inf
         self.unreachable_since: float | None = None
+        self._round_trips: dict[int, float] = {}  # the least of each second
 
-    def observe_latency(self, seconds: float) -> None:
+    @property
+    def least_round_trip_s(self) -> float:
+        """Return the least round trip of the 10 s before the last one.
+
+        An idle server keeps its last value, as distances seldom change.
+        """
+        return min(self._round_trips.values(), default=INITIAL_LATENCY_S)
+
+    def observe_latency(self, seconds: float, now: float) -> None:
         """Add a measurement to the moving average."""
         self.latency_s += LATENCY_WEIGHT * (seconds - self.latency_s)
+        self.latency_at = now
+
+    def observe_round_trip(self, seconds: float, now: float) -> None:
+        """Record the round trip of any request, also of one without work."""
+        second = int(now)
+        if second not in self._round_trips:
+            self._round_trips = {
+                earlier: least
+                for earlier, least in self._round_trips.items()
+                if earlier > second - ROUND_TRIP_WINDOW_S
+            }
+        least = self._round_trips.get(second, math.inf)
+        self._round_trips[second] = min(least, seconds)
+
+
+class CrossingState:
+    """How a group's reads are divided between this domain and the others.
+
+    `asked`, `kept` and `left` count reads since the last step: all of them,
+    those served in this domain, and those that left it. `asked_mean` and
+    `kept_mean` are averages for a step. `credit` and `turns` spread the reads
+    that leave evenly, `logged` is the share in the last log line, and
+    `wanted_at` the time of the last read that would have been late here.
+    """
+
+    def __init__(self) -> None:
+        """Start with all reads in the domain."""
+        self.now: Crossing = NOT_CROSSING
+        self.destinations: frozenset[str] = frozenset()
+        self.asked = 0
+        self.kept = 0
+        self.left = 0
+        self.asked_mean = 0.0
+        self.kept_mean = 0.0
+        self.credit = 0.0
+        self.turns: dict[str, float] = {}
+        self.logged = 0.0
+        self.wanted_at = -math.inf
 
 
 class GroupState:
@@ -74,12 +125,15 @@
         self.term_start: LogPosition = NOTHING_SEEN
         self.primary_work_until = math.inf
         self.backoff = Backoff()
+        self.crossing = CrossingState()
 
 
 class PeerView(NamedTuple):
     """Another proxy, as of its last heartbeat.
 
-    `demands` is the number of connections that it could use, by server.
+    `demands` is the number of connections that it could use, by server, and
+    `crossing_shares` the announced shares of reads that leave its failure
+    domain, by group.
     """
 
     name: str
@@ -92,10 +146,15 @@
     demands: Mapping[str, float] = MappingProxyType({})
     failure_domain: str = ''
     store_era: int = 0
+    crossing_shares: Mapping[str, float] = MappingProxyType({})
 
 
 class FleetTables:
-    """All tables of one proxy."""
+    """All tables of one proxy.
+
+    Without `crossing_cost_s`, a constant factor decides which reads leave the
+    failure domain.
+    """
 
     def __init__(self, name: str, failure_domain: str) -> None:
         """Start with empty tables."""
@@ -108,6 +167,7 @@
         self.peers: dict[str, PeerView] = {}
         self.primary_lease = PrimaryLease(name)
         self.draining = False
+        self.crossing_cost_s: float | None = None
 
 
 def group_state(tables: FleetTables, name: str) -> GroupState:
--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -17,6 +17,11 @@
     usable_primary,
 )
 from toucandeal.positions import NOTHING_SEEN, LogPosition
+from toucandeal.read_crossing import (
+    PRIMARY_COST_FACTOR,
+    ReadCosts,
+    choose_server,
+)
 from toucandeal.staleness import required_sample
 
 __all__ = [
@@ -27,8 +32,8 @@
 ]
 
 FRESHNESS_MARGIN_S = 0.15  # network transit of a read and of the sample
-PRIMARY_COST_FACTOR = 2.5  # reserves the primary for work that only it can do
-REMOTE_COST_FACTOR = 1.3  # for a server in another failure domain
+# For a server in another failure domain, without a declared crossing cost.
+REMOTE_COST_FACTOR = 1.3
 PROMOTION_RETRY_S = 0.6  # usual duration of a promotion
 UNAVAILABLE_RETRY_S = 0.1
 
@@ -117,7 +122,14 @@
     }
     if not costs:
         return _refuse_without_primary(group)
-    best = min(costs, key=costs.__getitem__)
+    choice = choose_server(
+        tables,
+        ReadCosts(costs, primary),
+        route,
+        now,
+        is_first=not tried,
+    )
+    best = choice.server
     only_candidate = len(costs) == 1
     if best is primary:
         return Placement(
@@ -125,7 +137,7 @@
             None,
             True,
             group.epoch,
-            'least expected wait',
+            choice.reason,
             only_candidate=only_candidate,
         )
     return Placement(
@@ -133,7 +145,7 @@
         requirement.position,
         False,
         group.epoch,
-        'least expected wait',
+        choice.reason,
         requirement.sampled_at,
         only_candidate,
     )
@@ -178,6 +190,7 @@
     cost = pending * load.latency_s
     if is_primary:
         cost *= PRIMARY_COST_FACTOR
-    if server.failure_domain != tables.failure_domain:
+    elsewhere = server.failure_domain != tables.failure_domain
+    if elsewhere and tables.crossing_cost_s is None:
         cost *= REMOTE_COST_FACTOR
     return cost
--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -3,6 +3,7 @@
 from toucandeal.caller_sessions import CallerSession, OpenTransaction
 from toucandeal.fleet import Verb
 from toucandeal.placement import Placement, Refusal, place_read, place_write
+from toucandeal.read_crossing import count_served
 from toucandeald.background_tasks import log_failure
 from toucandeald.forwarding_context import ForwardingContext
 from toucandeald.logs import log_event
@@ -105,6 +106,8 @@
             tried |= {placement.server.name}
             answer = await self._begin_at(call, transaction, placement)
             if answer.kind is AnswerKind.COMPLETED:
+                if transaction.read_only:
+                    count_served(self._context.tables, placement.server)
                 return None
             refusal = refusal_for(answer)
             if steady_seconds() - call.began_at > call.retry_window_s:
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -15,6 +15,7 @@
 from toucandeald.borrowing import Borrowing
 from toucandeald.confirmations import Confirmations
 from toucandeald.connection_pool import OpenConnection
+from toucandeald.domain_crossing import DomainCrossing
 from toucandeald.fleet_settings import FleetSettings
 from toucandeald.fleet_shutdown import FleetShutdown
 from toucandeald.fleet_wire import FleetMessage
@@ -86,6 +87,7 @@
     lending: Lending
     ports: FleetPorts
     recovery: StoreRecovery
+    crossing: DomainCrossing
 
 
 @contextlib.contextmanager
@@ -100,6 +102,7 @@
         failure_domain=settings.failure_domain,
     )
     tables = FleetTables(settings.name, settings.failure_domain)
+    tables.crossing_cost_s = settings.crossing_cost_s
     metrics = PrometheusMetrics()
     state = SharedState(reactor, tables, ports.store, ports.shared, own)
     gossip = Gossip(tables, state, own)
@@ -168,6 +171,7 @@
                 own,
                 first_start=settings.first_start,
             ),
+            DomainCrossing(tables, metrics),
         )
     finally:
         sockets.close()
@@ -277,6 +281,7 @@
 
 def _run_maintenance(parts: FleetParts) -> None:
     parts.pools.update_pools()
+    parts.crossing.tick(steady_seconds())
     parts.silent_proxies.tick(steady_seconds())
     parts.service.expire_transactions(steady_seconds())
     metrics = parts.metrics
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -35,6 +35,8 @@
     counts among the proxies.
     `demands` is how many connections the sender could use, by server, and
     `store_era` the newest era of the store that the sender knows of.
+    `crossing_shares` are the shares of reads, by group, that the sender sends
+    to other failure domains, where above 0.
     """
 
     sender: str
@@ -55,6 +57,7 @@
     demands: dict[str, float]
     failure_domain: str
     store_era: int = 0
+    crossing_shares: dict[str, float] = {}
 
 
 class RowCopy(msgspec.Struct, array_like=True):
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -16,6 +16,7 @@
     counted_proxies,
     renew_from_peer,
 )
+from toucandeal.read_crossing import announced_by
 from toucandeald.fleet_wire import (
     ConfigurationCopy,
     Heartbeat,
@@ -212,6 +213,7 @@
                 demands=demands,
                 failure_domain=self._tables.failure_domain,
                 store_era=self._state.era,
+                crossing_shares=announced_by(self._tables),
             ),
         )
 
@@ -250,6 +252,7 @@
             heartbeat.demands,
             heartbeat.failure_domain,
             heartbeat.store_era,
+            heartbeat.crossing_shares,
         )
         self._state.note_era(heartbeat.store_era)
         if heartbeat.echo_incarnation == self._own.incarnation:
--- a/packages/toucandeald/src/toucandeald/prometheus_metrics.py
+++ b/packages/toucandeald/src/toucandeald/prometheus_metrics.py
@@ -36,6 +36,13 @@
             registry=self._registry,
         )
 
+        self._crossing = Gauge(
+            'toucandeal_crossing',
+            'Reads of a group that leave the failure domain, with the waits',
+            ['group', 'failure_domain', 'measure'],
+            registry=self._registry,
+        )
+
     @property
     def metrics_resource(self) -> resource.Resource:
         """Return the resource that serves the metrics."""
@@ -46,6 +53,13 @@
         self._replies.labels(statement, outcome).inc()
         self._latency.labels(statement).observe(seconds)
 
+    def crossing(
+        self, group: str, failure_domain: str, measures: dict[str, float]
+    ) -> None:
+        """Set the measures of a group in this proxy's failure domain."""
+        for name, level in measures.items():
+            self._crossing.labels(group, failure_domain, name).set(level)
+
     def gauge(self, name: str, level: float) -> None:
         """Set a gauge."""
         self._gauges.labels(name).set(level)
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -162,7 +162,7 @@
         now = steady_seconds()
         self._record_answer(server, answer, sent_at, now)
         if isinstance(request, Forward) and answer.kind is AnswerKind.COMPLETED:
-            load.observe_latency(now - sent_at)
+            load.observe_latency(now - sent_at, now)
         return answer
 
     async def query(
@@ -264,6 +264,7 @@
             return
         load.unreachable_since = None
         load.heard_at = now
+        load.observe_round_trip(now - sent_at, now)
         if answer.kind is AnswerKind.LAGGING:
             load.lagging_until = now + LAGGING_RETRY_DELAY_S
         if answer.kind is AnswerKind.READ_ONLY:
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -1,6 +1,7 @@
 """Runs statements outside transactions, and retries them where that is safe."""
 
 from toucandeal.placement import Placement, Refusal, place_read, place_write
+from toucandeal.read_crossing import count_served
 from toucandeald.forwarding_context import ForwardingContext
 from toucandeald.logs import log_event
 from toucandeald.replies import (
@@ -65,6 +66,7 @@
             wait_s = call.remaining_s if placement.only_candidate else timeout_s
             answer = await self._send(call, placement, timeout_s, wait_s)
             if answer.kind is AnswerKind.COMPLETED:
+                count_served(self._context.tables, placement.server)
                 return self._context.validation.complete_read(
                     call, placement, answer
                 )
