--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
@@ -56,7 +56,11 @@
 
 
 class Operation(NamedTuple):
-    """The result of an operation; `latency_s` excludes the caller's pauses."""
+    """The result of an operation.
+
+    `latency_s` excludes the caller's pauses, and `failure_domain` is that of
+    the proxy used last.
+    """
 
     kind: str
     member: int
@@ -66,6 +70,7 @@
     attempts: int
     worth: float
     max_worth: float
+    failure_domain: str = ''
 
 
 def sample_operation(
@@ -132,17 +137,19 @@
         kind = arrival.kind
         began_at = self._clock.seconds()
         deadline_at = began_at + kind.deadline_ms / MS_PER_S
-        reply, paused_s = await self._attempt(arrival, group)
+        proxy = self._choose_proxy()
+        reply, paused_s = await self._attempt(arrival, group, proxy)
         attempts = 1
         while attempts < kind.attempts and is_retryable(reply, arrival):
             wait_s = self._retry_delay_s(reply)
             if self._clock.seconds() + wait_s >= deadline_at + paused_s:
                 break
             await pause(self._clock, wait_s)
-            reply, paused_s = await self._attempt(arrival, group)
+            proxy = self._choose_proxy()
+            reply, paused_s = await self._attempt(arrival, group, proxy)
             attempts += 1
         self._record_operation(
-            arrival, began_at, paused_s, _outcome(reply), attempts
+            arrival, began_at, paused_s, _outcome(reply), attempts, proxy
         )
 
     def _retry_delay_s(self, reply: CallerReply | None) -> float:
@@ -157,6 +164,7 @@
         paused_s: float,
         outcome: str,
         attempts: int,
+        proxy,
     ) -> None:
         kind = arrival.kind
         latency_s = self._clock.seconds() - began_at - paused_s
@@ -179,14 +187,14 @@
                 attempts,
                 worth,
                 kind.worth,
+                '' if proxy is None else proxy.spec.failure_domain,
             )
         )
 
     async def _attempt(
-        self, arrival: Arrival, group: str
+        self, arrival: Arrival, group: str, proxy
     ) -> tuple[CallerReply | None, float]:
         """Return the last reply of an attempt and its total pause time."""
-        proxy = self._choose_proxy()
         delay_s = self._deployment.caller_ms / MS_PER_S
         await pause(self._clock, 2 * delay_s)  # round trip to connect
         if proxy is None or not proxy.running:
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/patterns.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/patterns.py
@@ -105,7 +105,10 @@
     """A deployment, the load on it, and events.
 
     `wave` is the relative amplitude of a sinusoidal load with a period of
-    `wave_s` seconds.
+    `wave_s` seconds. `domain_swing` is that of the callers of each failure
+    domain, at a different time in each, with a period of `domain_swing_s`.
+    Without `crossing_cost_ms` a constant factor decides which reads leave
+    their domain.
     """
 
     name: str
@@ -114,6 +117,9 @@
     load: float = 1
     wave: float = 0
     wave_s: float = 11
+    domain_swing: float = 0
+    domain_swing_s: float = 13
+    crossing_cost_ms: float | None = None
     events: list[Event] = []
 
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -13,6 +13,7 @@
 )
 from toucandeal.fleet_tables import FleetTables, PeerView, apply_record
 from toucandeal.primary_lease import record_store_read
+from toucandeal.read_crossing import announced_by, step_crossing
 from toucandeal_standins.load_model.patterns import Deployment, ProxySpec
 from toucandeal_standins.load_model.servers import ModelConnection, ModelGroup
 from toucandeald.background_tasks import run_in_background
@@ -23,7 +24,12 @@
 from toucandeald.lending_wire import BorrowedAnswer, LoanReply
 from toucandeald.prometheus_metrics import PrometheusMetrics
 from toucandeald.server_pools import ServerPools
-from toucandeald.session_messages import ServerAnswer, lost
+from toucandeald.session_messages import (
+    Forward,
+    ServerAnswer,
+    ServerRequest,
+    lost,
+)
 from toucandeald.session_service import SessionService
 from toucandeald.steady_clock import pause
 
@@ -47,6 +53,31 @@
     records: dict[str, GroupRecord]
     generator: random.Random
     running: dict[str, 'ModelProxy']
+    crossing_cost_ms: float | None = None
+
+
+class CountingPools(ServerPools):
+    """Pools that count the statements sent to other failure domains."""
+
+    def __init__(self, clock, tables: FleetTables, open_connection, borrowing):
+        """Start without statements."""
+        super().__init__(clock, tables, open_connection, borrowing)
+        self.crossed = 0
+        self.forwarded = 0
+        self._failure_domain = tables.failure_domain
+
+    async def call(
+        self,
+        server: Server,
+        connection,
+        request: ServerRequest,
+        timeout_s: float,
+    ) -> ServerAnswer:
+        """Send a request, and count it if it is a caller's statement."""
+        if isinstance(request, Forward):
+            self.forwarded += 1
+            self.crossed += server.failure_domain != self._failure_domain
+        return await super().call(server, connection, request, timeout_s)
 
 
 class ModelProxy:
@@ -60,6 +91,8 @@
         self._environment = environment
         self._connections: list[ModelConnection] = []
         tables = self.tables
+        if environment.crossing_cost_ms is not None:
+            tables.crossing_cost_s = environment.crossing_cost_ms / MS_PER_S
         tables.configuration = _configuration(environment.deployment)
         tables.servers = {
             server.server_record.name: server.server_record
@@ -73,7 +106,7 @@
         own_record = ProxyRecord(spec.name, INCARNATION, spec.name)
         self.borrowing = Borrowing(clock, tables, own_record)
         self.borrowing.send = self.send
-        self.pools = ServerPools(
+        self.pools = CountingPools(
             clock, tables, self._open_connection, self.borrowing
         )
         self.lending = Lending(tables, self.pools, self, own_record)
@@ -134,6 +167,7 @@
                     {},
                     other.demands,
                     other.spec.failure_domain,
+                    crossing_shares=announced_by(other.tables),
                 )
 
     @property
@@ -163,6 +197,7 @@
         if self.running:
             self.pools.update_pools()
             now = self._environment.clock.seconds()
+            step_crossing(self.tables, now)
             self.borrowing.tick(now)
             self.lending.tick(now)
             self._environment.clock.callLater(UPKEEP_S, self._run_upkeep)
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/simulation.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/simulation.py
@@ -41,13 +41,19 @@
 
 
 class SimulationResult(NamedTuple):
-    """The result of a simulation; `busy_share` is the slots' utilization."""
+    """The result of a simulation.
+
+    `busy_share` is the slots' utilization, and `crossed` and `forwarded` the
+    statements sent to servers of another domain than the proxy's and to all.
+    """
 
     pattern: Pattern
     deployment: Deployment
     operations: list[Operation]
     busy_share: float
     connections: int
+    crossed: int = 0
+    forwarded: int = 0
 
 
 class _Simulation:
@@ -92,6 +98,7 @@
             self.records,
             self.generator,
             {},
+            self.pattern.crossing_cost_ms,
         )
         self.proxies = [
             start_proxy(spec, environment) for spec in self.deployment.proxies
@@ -113,9 +120,18 @@
             for proxy in self.proxies
             if proxy.spec.failure_domain not in self.avoided_domains
         ]
-        shares = [proxy.spec.share for proxy in candidates]
+        shares = [
+            proxy.spec.share * self._swing_factor(proxy) for proxy in candidates
+        ]
         return self.generator.choices(candidates, shares)[0]
 
+    def _swing_factor(self, proxy: ModelProxy) -> float:
+        pattern = self.pattern
+        domains = self.deployment.failure_domains
+        phase = domains.index(proxy.spec.failure_domain) / len(domains)
+        turns = self.clock.seconds() / pattern.domain_swing_s + phase
+        return 1 + pattern.domain_swing * math.sin(2 * math.pi * turns)
+
     def start_event(self, event: Event) -> None:
         match event.kind:
             case EventKind.SHIFT:
@@ -294,6 +310,8 @@
         ],
         sum(server.busy_seconds for server in servers) / slot_seconds,
         sum(proxy.pools.opened for proxy in simulation.proxies),
+        sum(proxy.pools.crossed for proxy in simulation.proxies),
+        sum(proxy.pools.forwarded for proxy in simulation.proxies),
     )
 
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/statistics.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/statistics.py
@@ -20,6 +20,7 @@
     'by_kind',
     'earned_by_window',
     'goodput',
+    'in_time_by_domain',
 ]
 
 WINDOW_S = 2.0
@@ -82,6 +83,18 @@
     )
 
 
+def in_time_by_domain(operations: list[Operation]) -> dict[str, float]:
+    """Return the share of operations served in time by failure domain."""
+    asked = collections.Counter(each.failure_domain for each in operations)
+    in_time = collections.Counter(
+        each.failure_domain for each in operations if each.outcome == IN_TIME
+    )
+    return {
+        domain: in_time[domain] / count
+        for domain, count in sorted(asked.items())
+    }
+
+
 def goodput(result: SimulationResult) -> float:
     """Return the number of operations served in time per second."""
     in_time = sum(each.outcome == IN_TIME for each in result.operations)
@@ -113,6 +126,9 @@
     figures['goodput_per_s'] = goodput(result)
     figures['slots busy'] = result.busy_share
     figures['connections opened'] = result.connections
+    figures['statements crossed'] = result.crossed / max(result.forwarded, 1)
+    for domain, share in in_time_by_domain(result.operations).items():
+        figures[f'in time in {domain}'] = share
     return Measure(
         'load model',
         result.pattern.name,
--- a/packages/toucandeal/src/toucandeal/domain_crossing.py
+++ b/packages/toucandeal/src/toucandeal/domain_crossing.py
@@ -231,7 +231,7 @@
     >>> idle = CrossingEvidence(0.01, 0.01, 0.003, 0.3)
     >>> fourth = short_at(third, evidence=idle, now=8.5, allowed=True)
     >>> round(fourth.share, 3)
-    0.319
+    0.332
     >>> short_at(fourth, now=8.75, allowed=False) == NOT_CROSSING
     True
     """
@@ -245,12 +245,21 @@
     if now - crossing.since < ANNOUNCEMENT_S:
         return crossing
     share = min(target, crossing.share + MAX_RISE)
-    share = max(share, crossing.share * (1 - FALL))
+    share = max(share, crossing.share - _most_fall(crossing, evidence, cost_s))
     if share < MIN_SHARE:
         return NOT_CROSSING
     return crossing._replace(share=share, announced=max(share, INTENDED_SHARE))
 
 
+def _most_fall(
+    crossing: Crossing, evidence: CrossingEvidence, cost_s: float
+) -> float:
+    """Return the most by which the share falls in a step."""
+    fall = crossing.share * FALL
+    excess = excess_s(evidence, cost_s)
+    return fall if excess > 0 else min(fall, -excess / DRAIN_S)
+
+
 def _target_share(evidence: CrossingEvidence, cost_s: float) -> float:
     excess = excess_s(evidence, cost_s)
     if excess <= 0:
