Keep reads at a calm primary, and record the figures of swinging domains

The exception is removed: such reads leave, as others, if they would take more than half of their objective.

--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_load_model.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_load_model.py
@@ -6,6 +6,7 @@
 
 import functools
 
+import msgspec
 import pytest
 
 from toucandeal.errors import BadSetting
@@ -25,6 +26,7 @@
     by_kind,
     earned_by_window,
     goodput,
+    in_time_by_domain,
 )
 from toucandeald.session_messages import CallerReply, ReplyKind
 
@@ -109,6 +111,22 @@
     assert goodput(_simulated('overload')) >= 0.9 * peak
 
 
+def _swinging_domains(crossing_cost_ms):
+    pattern = msgspec.structs.replace(
+        load_pattern('domain_swing'),
+        load=4.0,
+        seconds=6,
+        crossing_cost_ms=crossing_cost_ms,
+    )
+    return simulate(pattern, SEED)
+
+
+def test_a_crossing_cost_keeps_statements_in_their_domain():
+    result, by_factor = _swinging_domains(5), _swinging_domains(None)
+    assert result.crossed < by_factor.crossed / 2
+    assert min(in_time_by_domain(result.operations).values()) >= 0.97
+
+
 @pytest.mark.parametrize('name', pattern_names())
 def test_all_patterns_of_the_package_can_be_loaded(name):
     assert load_pattern(name).name
--- a/packages/toucandeal/src/toucandeal/read_crossing.py
+++ b/packages/toucandeal/src/toucandeal/read_crossing.py
@@ -138,10 +138,9 @@
         server_load(tables, server.name).least_round_trip_s for server in own
     )
     answer_s = evidence.own_wait_s + round_trip_s
-    # Reads that stay at a primary delay the writes, so they need not be late.
-    only_primary = own == [read_costs.primary]
-    wants = (only_primary or is_late(answer_s, route.latency_objective_s)) and (
-        excess_s(evidence, tables.crossing_cost_s) > 0
+    wants = (
+        is_late(answer_s, route.latency_objective_s)
+        and excess_s(evidence, tables.crossing_cost_s) > 0
     )
     if wants:
         crossing.wanted_at = now
