Merge the decision to leave the failure domain

The test that pins the fields of a heartbeat in small fleets lists the two that this change adds, the age of the freshness proof and the crossing shares; it still compares the whole list.

--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -3,6 +3,7 @@
 from toucandeal.caller_sessions import CallerSession, OpenTransaction
 from toucandeal.fleet import Verb
 from toucandeal.placement import Placement, Refusal, place_read, place_write
+from toucandeal.read_crossing import count_served
 from toucandeald.admission import KEY_CHANGED, holds_workspace
 from toucandeald.background_tasks import log_failure
 from toucandeald.forwarding_context import ForwardingContext
@@ -108,6 +109,8 @@
             tried |= {placement.server.name}
             answer = await self._begin_at(call, transaction, placement)
             if answer.kind is AnswerKind.COMPLETED:
+                if transaction.read_only:
+                    count_served(self._context.tables, placement.server)
                 return None
             refusal = refusal_for(answer)
             elapsed_s = steady_seconds() - call.began_at
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -16,6 +16,7 @@
 from toucandeald.borrowing import Borrowing
 from toucandeald.confirmations import Confirmations
 from toucandeald.connection_pool import OpenConnection
+from toucandeald.domain_crossing import DomainCrossing
 from toucandeald.fleet_settings import FleetSettings
 from toucandeald.fleet_shutdown import FleetShutdown
 from toucandeald.fleet_wire import FleetMessage
@@ -91,6 +92,7 @@
     ports: FleetPorts
     recovery: StoreRecovery
     rates: RateCoordination
+    crossing: DomainCrossing
 
 
 @contextlib.contextmanager
@@ -105,6 +107,7 @@
         failure_domain=settings.failure_domain,
     )
     tables = FleetTables(settings.name, settings.failure_domain)
+    tables.crossing_cost_s = settings.crossing_cost_s
     metrics = PrometheusMetrics()
     state = SharedState(reactor, tables, ports.store, ports.shared, own)
     gossip = Gossip(tables, state, own)
@@ -181,6 +184,7 @@
                 first_start=settings.first_start,
             ),
             _new_rates(reactor, tables, own, gossip, service),
+            DomainCrossing(tables, metrics),
         )
     finally:
         sockets.close()
@@ -306,6 +310,7 @@
 
 def _run_maintenance(parts: FleetParts) -> None:
     parts.pools.update_pools()
+    parts.crossing.tick(steady_seconds())
     parts.silent_proxies.tick(steady_seconds())
     parts.service.expire_transactions(steady_seconds())
     metrics = parts.metrics
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -43,7 +43,9 @@
     `demands` is how many connections the sender could use, by server, and
     `store_era` the newest era of the store that the sender knows of.
     `freshness_age` is the age of the sender's proof that its configuration is
-    the newest one; infinity if it has none in that era.
+    the newest one; infinity if it has none in that era. `crossing_shares` are
+    the shares of reads, by group, that the sender sends to other failure
+    domains, where above 0.
     """
 
     sender: str
@@ -65,6 +67,7 @@
     failure_domain: str
     store_era: int = 0
     freshness_age: float = math.inf
+    crossing_shares: dict[str, float] = {}
 
 
 class RelayHeartbeat(Heartbeat, tag='h', array_like=True):
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -259,6 +259,7 @@
             self._demands(heartbeat, known),
             heartbeat.failure_domain,
             heartbeat.store_era,
+            heartbeat.crossing_shares,
         )
         self._state.note_era(heartbeat.store_era)
         sent_after = -math.inf
--- a/packages/toucandeald/src/toucandeald/heartbeat_content.py
+++ b/packages/toucandeald/src/toucandeald/heartbeat_content.py
@@ -13,6 +13,7 @@
     server_load,
 )
 from toucandeal.primary_lease import counted_proxies
+from toucandeal.read_crossing import announced_by
 from toucandeal.relay_reports import RelayReport, RelaySummary
 from toucandeal.relay_views import (
     RelayExchange,
@@ -78,6 +79,7 @@
         failure_domain=tables.failure_domain,
         store_era=state.era,
         freshness_age=freshness_age(tables.configuration_freshness, now),
+        crossing_shares=announced_by(tables),
     )
     if not active:
         return CommonContent(
--- a/packages/toucandeald/src/toucandeald/tests/test_relay_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_relay_fleet.py
@@ -41,6 +41,8 @@
     'demands',
     'failure_domain',
     'store_era',
+    'freshness_age',
+    'crossing_shares',
 )
 
 
