--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
@@ -199,11 +199,11 @@
         await pause(self._clock, 2 * delay_s)  # round trip to connect
         if proxy is None or not proxy.running:
             return None, 0
-        session = proxy.service.open(_database(arrival, group), 'model')
+        session = proxy.service.open(
+            _database(arrival, group), str(arrival.member)
+        )
         if isinstance(session, CallerReply):
             return session, 0
-        if self._deployment.workspaces:
-            session.workspace = str(arrival.member)
         paused_s = 0.0
         reply: CallerReply | None = None
         for step in arrival.steps:
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -14,7 +14,7 @@
 from toucandeal.fleet_tables import FleetTables, PeerView, apply_record
 from toucandeal.primary_lease import record_store_read
 from toucandeal.read_crossing import announced_by, step_crossing
-from toucandeal.workspaces import Workspace
+from toucandeal.workspaces import Workspace, key_digest
 from toucandeal_standins.load_model.patterns import Deployment, ProxySpec
 from toucandeal_standins.load_model.servers import ModelConnection, ModelGroup
 from toucandeald.admission import Admission
@@ -274,6 +274,7 @@
 
 
 def _configuration(deployment: Deployment) -> FleetConfiguration:
+    workspaces = _workspaces(deployment)
     return FleetConfiguration(
         1,
         kind_routes(deployment),
@@ -282,7 +283,8 @@
             for number in range(deployment.groups)
         },
         IDLE_TRANSACTION_S,
-        _workspaces(deployment),
+        workspaces,
+        {key_digest(name): name for name in workspaces},
     )
 
 
