Send with a loan request what the connection is for

LoanRequest now has the priority, the database and the remaining times until late and until the end. A lender that refuses for its backlog says so (LoanReply.busy), and the borrower ends just that statement.

This applies to all loans.

--- a/packages/toucandeal/src/toucandeal/statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/statement_queue.py
@@ -33,11 +33,13 @@
     'WaitingStatement',
     'enter',
     'expected_wait_s',
+    'first_of_workspaces',
     'is_worth_waiting',
     'leave',
     'next_statement',
     'service_lead',
     'service_order',
+    'waiting_statement',
 ]
 
 
@@ -153,6 +155,47 @@
             yield queue.waiting[next(databases[workspace])[1]]
 
 
+def first_of_workspaces(queue: StatementQueue) -> list[ConnectionRequest]:
+    """Return the first request of each workspace, in order of service.
+
+    Examples
+    --------
+    >>> queue = StatementQueue()
+    >>> for number, name in enumerate('aab'):
+    ...     connection_request = ConnectionRequest(1, 'd', 5.0, 9.0, name)
+    ...     enter(queue, WaitingStatement(connection_request, number))
+    >>> [first.workspace for first in first_of_workspaces(queue)]
+    ['a', 'b']
+    """
+    first: dict[str | None, ConnectionRequest] = {}
+    for statement in service_order(queue):
+        connection_request = statement.connection_request
+        first.setdefault(connection_request.workspace, connection_request)
+    return list(first.values())
+
+
+def waiting_statement(
+    queue: StatementQueue, connection_request: ConnectionRequest
+) -> WaitingStatement | None:
+    """Return a statement that waits with this request, or None.
+
+    Examples
+    --------
+    >>> waiting_statement(
+    ...     StatementQueue(), ConnectionRequest(1, 'a', 5.0, 9.0)
+    ... ) is None
+    True
+    """
+    return next(
+        (
+            statement
+            for statement in queue.waiting.values()
+            if statement.connection_request == connection_request
+        ),
+        None,
+    )
+
+
 def next_statement(
     queue: StatementQueue, now: float, workspace: str | None = None
 ) -> WaitingStatement | None:
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 from twisted.internet import defer
 
@@ -15,6 +16,7 @@
     spread_lenders,
 )
 from toucandeal.primary_lease import counted_proxies
+from toucandeal.statement_queue import ConnectionRequest
 from toucandeald.lending_wire import (
     BorrowedAnswer,
     BorrowedRequest,
@@ -34,6 +36,7 @@
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = [
+    'LENDER_BUSY',
     'NOT_LENT',
     'NO_LENDER',
     'OPEN_DIRECTLY',
@@ -54,6 +57,10 @@
 NOT_LENT = ServerAnswer(
     AnswerKind.NO_CONNECTION, [], '', 'no connection was lent'
 )
+# The statement it was for is not worth waiting for at the lender.
+LENDER_BUSY = ServerAnswer(
+    AnswerKind.NO_CONNECTION, [], '', 'the lender has too many statements'
+)
 
 Send = Callable[[object], None]
 SelectLenders = Callable[[str, Mapping[str, str], int], list[str]]
@@ -154,6 +161,13 @@
         waiting.callback(answer)
 
 
+class _PendingLoan(NamedTuple):
+    """A loan that was requested, and the Deferred of its reply."""
+
+    lender: str
+    waiting: defer.Deferred
+
+
 class Borrowing:
     """The loans that this proxy has or has requested."""
 
@@ -164,7 +178,7 @@
         self._tables = tables
         self._own = own
         self._loan_ids = itertools.count(1)
-        self._pending: dict[int, defer.Deferred] = {}
+        self._pending: dict[int, _PendingLoan] = {}
         self._connections: dict[int, BorrowedConnection] = {}
         self._no_lender_since: dict[str, float] = {}
         self._selected_of: dict[str, ProxyRecord] = {}
@@ -258,13 +272,18 @@
         return choose_lender(server.name, key, live, near)
 
     async def borrow(
-        self, lender: str, server: Server, workspace: str | None, wait_s: float
+        self, lender: str, server: Server, connection_request: ConnectionRequest
     ) -> BorrowedConnection | ServerAnswer:
-        """Return a workspace's connection lent in time, or `NOT_LENT`."""
+        """Return a connection lent for a statement in time.
+
+        Otherwise the result is `LENDER_BUSY` or `NOT_LENT`.
+        """
         loan_id = next(self._loan_ids)
         address = self._tables.peers[lender].address
         waiting: defer.Deferred = defer.Deferred()
-        self._pending[loan_id] = waiting
+        self._pending[loan_id] = _PendingLoan(lender, waiting)
+        now = steady_seconds()
+        wait_s = max(connection_request.ends_at - now, 0)
         timer = self._clock.callLater(
             wait_s + PEER_ROUND_TRIP_S, self._resolve_pending, loan_id, None
         )
@@ -277,7 +296,10 @@
                 loan_id,
                 server.name,
                 wait_s,
-                workspace,
+                connection_request.workspace,
+                connection_request.priority,
+                connection_request.database,
+                connection_request.late_at - now,
             ),
         )
         lent = await waiting
@@ -294,7 +316,8 @@
             log_event('not lent', server=server.name, lender=lender)
             if lent is None:
                 connection.return_to_lender()
-            return NOT_LENT
+                return NOT_LENT
+            return LENDER_BUSY if lent.busy else NOT_LENT
         connection.connection_state.values.update(lent.values)
         connection.connection_state.shapes.update(
             PreparedShape(shape, writes) for shape, writes in lent.shapes
@@ -313,18 +336,24 @@
                     connection.answered(message)
 
     def tick(self, now: float) -> None:
-        """Abort the loans of silent lenders, and remove loans that ended."""
+        """End the loans of silent lenders, and remove loans that ended."""
+        for loan_id, pending in list(self._pending.items()):
+            if self._is_silent(pending.lender, now):
+                self._resolve_pending(loan_id, None)
         for loan_id, connection in list(self._connections.items()):
-            peer = self._tables.peers.get(connection.lender)
             if not connection.usable:
                 self._connections.pop(loan_id)
-            elif peer is None or now - peer.heard_at >= LENDER_SILENT_S:
+            elif self._is_silent(connection.lender, now):
                 connection.abort('the lender is silent')
 
+    def _is_silent(self, lender: str, now: float) -> bool:
+        peer = self._tables.peers.get(lender)
+        return peer is None or now - peer.heard_at >= LENDER_SILENT_S
+
     def _resolve_pending(self, loan_id: int, lent: LoanReply | None) -> None:
-        waiting = self._pending.pop(loan_id, None)
-        if waiting is not None:
-            waiting.callback(lent)
+        pending = self._pending.pop(loan_id, None)
+        if pending is not None:
+            pending.waiting.callback(lent)
 
 
 def _ignore(connection: BorrowedConnection) -> None:
--- a/packages/toucandeald/src/toucandeald/connection_pool.py
+++ b/packages/toucandeald/src/toucandeald/connection_pool.py
@@ -19,14 +19,16 @@
     StatementQueue,
     WaitingStatement,
     enter,
+    first_of_workspaces,
     is_worth_waiting,
     leave,
     next_statement,
     service_lead,
-    service_order,
+    waiting_statement,
 )
 from toucandeal.workspace_connections import keeps_workspace, serves
 from toucandeald.background_tasks import run_in_background
+from toucandeald.borrowing import LENDER_BUSY
 from toucandeald.held_connections import HeldConnections
 from toucandeald.logs import log_event
 from toucandeald.session_messages import AnswerKind, ServerAnswer
@@ -38,7 +40,10 @@
 FULL_RETRY_DELAY_S = 0.3  # after a refusal for too many connections
 IDLE_TIMEOUT_S = 4.0  # then an unused connection is closed
 
-OpenConnection = Callable[[Server, str | None, float], Coroutine[Any, Any, Any]]
+OpenConnection = Callable[[Server, str, float], Coroutine[Any, Any, Any]]
+OpenForRequest = Callable[
+    [Server, ConnectionRequest, float], Coroutine[Any, Any, Any]
+]
 
 
 class ConnectionPool:
@@ -53,7 +58,7 @@
         self,
         clock,
         server: Server,
-        open_connection: OpenConnection,
+        open_connection: OpenForRequest,
         on_attempt: Callable[[Server, ServerAnswer | None], None],
     ) -> None:
         """Initialize a pool that reports attempts to open to `on_attempt`."""
@@ -114,7 +119,9 @@
         workspace = connection_request.workspace
         connection = self._held.take_idle(workspace, values, shapes)
         if connection is None:
-            self._open_for(workspace, self._queue.counts[workspace] + 1)
+            self._open_for(
+                connection_request, self._queue.counts[workspace] + 1
+            )
             connection = self._held.take_idle(workspace, values, shapes)
         if connection is not None:
             self._mark_acquired(connection)
@@ -189,7 +196,10 @@
         held = self.held if self.divided else {}
         missing = next((each for each in workspaces if each not in held), None)
         if missing is not None:
-            self._open_for(missing, 1)
+            ends_at = self._clock.seconds() + OPEN_TIMEOUT_S
+            self._open_for(
+                ConnectionRequest(1, '', ends_at, ends_at, missing), 1
+            )
 
     def close(self) -> None:
         """Close idle connections now and the others on their release."""
@@ -244,8 +254,8 @@
 
     def _more_urgent(
         self, own: WaitingStatement, workspace: str | None, now: float
-    ) -> str | None:
-        """Return the workspace that gets a released connection's place."""
+    ) -> ConnectionRequest | None:
+        """Return the request that gets a released connection's place."""
         first = next_statement(self._queue, now)
         other = first.connection_request.workspace
         if first is own or self.size < self.limit or now < self._next_open_at:
@@ -262,7 +272,7 @@
             self._held.opening_cost,
             now,
         )
-        return None if keeps else other
+        return None if keeps else first.connection_request
 
     def _put_away(self, connection) -> None:
         """Return a borrowed connection, and close another one."""
@@ -317,28 +327,23 @@
         """
         if not self._queue or self._closed:
             return
+        first_requests = first_of_workspaces(self._queue)
         if not self.divided:
-            self._open_for(
-                next(service_order(self._queue)).connection_request.workspace, 1
-            )
+            self._open_for(first_requests[0], 1)
             return
-        workspaces = dict.fromkeys(
-            statement.connection_request.workspace
-            for statement in service_order(self._queue)
-        )
-        for workspace in workspaces:
-            self._open_for(workspace, self._queue.counts[workspace])
+        for first in first_requests:
+            self._open_for(first, self._queue.counts[first.workspace])
 
-    def _open_for(self, workspace: str | None, waiting: int) -> None:
+    def _open_for(self, request: ConnectionRequest, waiting: int) -> None:
         """Open a connection for a workspace's statements if there is room."""
         if self._closed or self._clock.seconds() < self._next_open_at:
             return
         if self.divided and not self._held.is_opening_useful(
-            workspace, waiting
+            request.workspace, waiting
         ):
             return
-        if self.size < self.limit or self._make_room(workspace):
-            self._start_opening(workspace)
+        if self.size < self.limit or self._make_room(request.workspace):
+            self._start_opening(request)
 
     def _make_room(self, workspace: str | None) -> bool:
         """Close an idle connection of another workspace if there is one."""
@@ -347,18 +352,22 @@
             self._close(closed)
         return self.size < self.limit
 
-    def _start_opening(self, workspace: str | None) -> None:
-        self._held.opening[workspace] += 1
-        run_in_background(self._open(workspace))
+    def _start_opening(self, request: ConnectionRequest) -> None:
+        self._held.opening[request.workspace] += 1
+        run_in_background(self._open(request))
 
-    async def _open(self, workspace: str | None) -> None:
+    async def _open(self, request: ConnectionRequest) -> None:
+        workspace = request.workspace
         began_at = self._clock.seconds()
         try:
             opened = await self._open_connection(
-                self.server, workspace, OPEN_TIMEOUT_S
+                self.server, request, OPEN_TIMEOUT_S
             )
         finally:
             self._held.opening[workspace] -= 1
+        if opened == LENDER_BUSY:
+            self._on_lender_busy(request)
+            return
         if isinstance(opened, ServerAnswer):
             self._on_open_failed(opened)
             return
@@ -378,6 +387,15 @@
         self._assign(opened, is_new=True)
         self._open_more()
 
+    def _on_lender_busy(self, request: ConnectionRequest) -> None:
+        """End the statement of a refused loan if nothing else may serve it."""
+        statement = waiting_statement(self._queue, request)
+        if statement is not None:
+            if self._held.counts[request.workspace] > 0:
+                return
+            self._abandon(statement)
+        self._open_more()
+
     def _on_open_failed(self, refusal: ServerAnswer) -> None:
         is_full = refusal.kind is AnswerKind.TOO_MANY_CONNECTIONS
         pause = FULL_RETRY_DELAY_S if is_full else RETRY_DELAY_S
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -29,7 +29,6 @@
 
 __all__ = ['Lending']
 
-LOAN_PRIORITY = 1  # as ordinary statements; a borrower prioritizes its own
 BORROWER_SILENT_S = 1.5  # then its loans end
 IDLE_MARGIN_S = 1.0  # beyond the idle timeout of transactions
 
@@ -103,16 +102,8 @@
         server = self._tables.servers.get(loan_request.server)
         connection = None
         if server is not None:
-            ends_at = steady_seconds() + loan_request.wait_s
-            connection_request = ConnectionRequest(
-                LOAN_PRIORITY,
-                loan_request.sender,
-                ends_at,
-                ends_at,
-                loan_request.workspace,
-            )
             connection = await self._pools.pool(server).acquire(
-                {}, [], connection_request
+                {}, [], _connection_request(loan_request)
             )
         if key not in self._pending:
             if connection is not None:
@@ -120,9 +111,12 @@
             return
         self._pending.discard(key)
         if connection is None:
+            busy = server is not None and self._pools.pool(server).size > 0
             self._gossip.send(
                 loan_request.address,
-                LoanReply(self._name, loan_request.loan_id, False, {}, []),
+                LoanReply(
+                    self._name, loan_request.loan_id, False, {}, [], busy
+                ),
             )
             return
         self._loans[key] = Loan(
@@ -177,6 +171,25 @@
             self._pools.discard(loan.server, loan.connection)
 
 
+def _connection_request(loan_request: LoanRequest) -> ConnectionRequest:
+    """Return the borrower's statement as one of this proxy's own queue.
+
+    Its limits count from now, so they are later than the borrower's by the time
+    that the message took.
+    """
+    now = steady_seconds()
+    late_in_s = loan_request.late_in_s
+    if late_in_s is None:
+        late_in_s = loan_request.wait_s
+    return ConnectionRequest(
+        loan_request.priority,
+        loan_request.database or loan_request.sender,
+        now + late_in_s,
+        now + loan_request.wait_s,
+        loan_request.workspace,
+    )
+
+
 def _record_setup_step(connection, request, answer: ServerAnswer) -> None:
     """Record the connection state that the borrower's request has set."""
     if not isinstance(request, SetValue | PrepareShape | ResetSession):
--- a/packages/toucandeald/src/toucandeald/lending_wire.py
+++ b/packages/toucandeald/src/toucandeald/lending_wire.py
@@ -55,7 +55,9 @@
 
     `loan_id` identifies the loan among those of the sender's incarnation. The
     connection has to be one of `workspace`; None is any, for the sender's own
-    requests.
+    requests. `priority`, `database` and `late_in_s`, the remaining time until
+    it is late, are those of the statement that the connection is for; a sender
+    without them gives None, and its statement is late after `wait_s`.
     """
 
     sender: str
@@ -65,16 +67,23 @@
     server: str
     wait_s: float
     workspace: str | None = ''
+    priority: int = 1
+    database: str = ''
+    late_in_s: float | None = None
 
 
 class LoanReply(msgspec.Struct, tag='l', array_like=True):
-    """The answer to `LoanRequest`, with the connection state if granted."""
+    """The answer to `LoanRequest`, with the connection state if granted.
+
+    `busy` is whether it was refused because others wait for the connections.
+    """
 
     sender: str
     loan_id: int
     granted: bool
     values: dict[str, str]
     shapes: list[tuple[str, bool]]
+    busy: bool = False
 
 
 class BorrowedRequest(msgspec.Struct, tag='q', array_like=True):
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -261,18 +261,18 @@
                 pool.discard(connection)
 
     async def _open(
-        self, server: Server, workspace: str | None, timeout_s: float
+        self,
+        server: Server,
+        connection_request: ConnectionRequest,
+        timeout_s: float,
     ):
-        source = self._borrowing.source(server, workspace or '')
+        workspace = connection_request.workspace or ''
+        source = self._borrowing.source(server, workspace)
         if source == NO_LENDER:
             return NOT_LENT
         if source == OPEN_DIRECTLY:
-            return await self._open_connection(
-                server, workspace or '', timeout_s
-            )
-        return await self._borrowing.borrow(
-            source, server, workspace, timeout_s
-        )
+            return await self._open_connection(server, workspace, timeout_s)
+        return await self._borrowing.borrow(source, server, connection_request)
 
     def _update_limit(self, pool: ConnectionPool) -> None:
         configuration = self._tables.configuration
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -17,13 +17,16 @@
     Server,
 )
 from toucandeal.fleet_tables import FleetTables, PeerView
+from toucandeal.statement_queue import ConnectionRequest
 from toucandeald.borrowing import (
+    LENDER_BUSY,
     LENDER_SILENT_S,
     NO_LENDER,
     NO_LENDER_TIMEOUT_S,
     OPEN_DIRECTLY,
     Borrowing,
 )
+from toucandeald.connection_pool import ConnectionPool
 from toucandeald.lending import BORROWER_SILENT_S, Lending
 from toucandeald.lending_wire import BorrowedAnswer, LoanReply
 from toucandeald.server_pools import ServerPools
@@ -120,11 +123,27 @@
         """Return a connection that is granted at once."""
         return self.start_loan()[0]
 
-    def start_loan(self):
+    def statement(self, priority=1, workspace=''):
+        """Return the request of a statement that comes now."""
+        ends_at = self.clock.seconds() + WAIT_S
+        return ConnectionRequest(
+            priority, f'db{priority}', ends_at, ends_at, workspace
+        )
+
+    async def delayed_loan(self, request):
+        """Borrow a connection for a request after a millisecond."""
+        delay = defer.Deferred()
+        self.clock.callLater(0.001, delay.callback, None)
+        await delay
+        return await self.borrowing.borrow('a', SERVER, request)
+
+    def start_loan(self, priority=1, workspace=''):
         """Return a list that receives the outcome of a loan request."""
         results = []
         borrowing = defer.ensureDeferred(
-            self.borrowing.borrow('a', SERVER, '', WAIT_S)
+            self.borrowing.borrow(
+                'a', SERVER, self.statement(priority, workspace)
+            )
         )
         borrowing.addCallback(results.append)
         return results
@@ -273,3 +292,76 @@
     )
     pair.clock.advance(NO_LENDER_TIMEOUT_S + 0.1)
     assert _source(pair, names) == OPEN_DIRECTLY
+
+
+def test_an_urgent_loan_precedes_loans_that_wait(pair):
+    # Guards against a lender that serves borrowers' statements of priority 0
+    # after others because it takes all loans for ordinary ones.
+    first = pair.borrow_connection()
+    pair.pools.pool(SERVER).limit = 1
+    ordinary = [pair.start_loan(priority=2) for _ in range(3)]
+    urgent = pair.start_loan(priority=0)
+    first.return_to_lender()
+    assert urgent and urgent[0].usable
+    assert not any(ordinary)
+
+
+def test_a_loan_that_would_come_too_late_is_refused_at_once(pair):
+    # Guards against a borrower that learns of the lender's backlog only when
+    # the statement is useless; the statements that wait already stay.
+    pair.start_loan()
+    pair.pools.pool(SERVER).limit = 1
+    waiting = [pair.start_loan(priority=2) for _ in range(40)]
+    refused = [loan for loan in waiting if loan]
+    assert refused and all(loan == [LENDER_BUSY] for loan in refused)
+    # 30 ms are assumed for each use, so 16 fit into half a second.
+    assert len(waiting) - len(refused) == 16
+    assert not pair.start_loan(priority=1)
+
+
+def _acquire(pool, connection_request):
+    results = []
+    acquiring = defer.ensureDeferred(pool.acquire({}, [], connection_request))
+    acquiring.addCallback(results.append)
+    return results
+
+
+def test_a_busy_lender_ends_only_the_statement_that_it_refused(pair):
+    # Guards against a refusal for one statement that ends others of the
+    # borrower, or stops it from borrowing for more urgent ones.
+    lent = pair.borrow_connection()
+    pair.pools.pool(SERVER).limit = 1
+    pair.pools.pool(SERVER).divided = True
+    for _ in range(40):
+        pair.start_loan(priority=2, workspace='a')
+    pool = ConnectionPool(
+        pair.clock,
+        SERVER,
+        lambda _, request, timeout_s: pair.delayed_loan(request),
+        lambda server, refusal: None,
+    )
+    pool.limit = 8
+    pool.divided = True
+    refused = _acquire(pool, pair.statement(priority=2, workspace='a'))
+    granted = _acquire(pool, pair.statement(priority=0, workspace='b'))
+    pair.clock.advance(0.001)
+    assert refused == [None] and not granted
+    lent.return_to_lender()
+    pair.clock.advance(0.001)
+    assert granted[0].usable
+
+
+def test_a_loan_requested_from_a_lender_that_falls_silent_ends(pair):
+    # Guards against a statement with a long time limit that waits for a lost
+    # lender until its end.
+    pair.lossy = True
+    now = pair.clock.seconds()
+    results = []
+    request = ConnectionRequest(1, 'db', now + 9, now + 9)
+    borrowing = defer.ensureDeferred(
+        pair.borrowing.borrow('a', SERVER, request)
+    )
+    borrowing.addCallback(results.append)
+    pair.clock.advance(LENDER_SILENT_S + 0.1)
+    pair.borrowing.tick(pair.clock.seconds())
+    assert results[0].kind is AnswerKind.NO_CONNECTION
--- a/packages/toucandeald/src/toucandeald/tests/test_workspace_pool.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_workspace_pool.py
@@ -84,9 +84,10 @@
         if in_use:
             end(in_use[number % len(in_use)])
 
-    async def open(self, server, workspace, timeout_s):
+    async def open(self, server, connection_request, timeout_s):
         """Open a connection of a workspace, or refuse it after a time."""
         del server, timeout_s
+        workspace = connection_request.workspace
         opened = defer.Deferred()
         self.clock.callLater(OPEN_S, opened.callback, None)
         await opened
