Use one lender per failure domain and server with workspaces

Of a domain's two lenders only the first live one that is not draining opens connections; the other one borrows from it and takes over from it. A domain's connections to a server are therefore not split in two. A proxy that borrows reports no demand, so the active lenders get the room, within the same half of the server's limit.

--- a/packages/toucandeal/src/toucandeal/lending.py
+++ b/packages/toucandeal/src/toucandeal/lending.py
@@ -8,9 +8,8 @@
   open several connections each, and the other proxies borrow one for a
   statement or a transaction.
 - There are some seventy workspaces, and a connection serves only one of them.
-  Two lenders in each failure domain hold the connections, and a borrower
-  chooses by the workspace, so the connections of a workspace are few and used
-  often.
+  One lender in each failure domain holds the connections, so the connections
+  of a workspace are few and used often. A second one replaces it when lost.
 - All proxies lose power at once. Their connections stay open at the servers
   for seconds, so all lenders together open only a part of the connections that
   a server accepts, and the rest is free when the proxies restart.
@@ -22,6 +21,7 @@
 from toucandeal.membership import rendezvous_order
 
 __all__ = [
+    'active_lenders',
     'choose_lender',
     'domain_lenders',
     'lendable',
@@ -31,7 +31,7 @@
 
 LENDER_SHARE = 0.5  # of a server's connections; all may reconnect at once
 MIN_CONNECTIONS_PER_LENDER = 2  # with one, statements queue
-LENDERS_PER_DOMAIN = 2  # one may be lost; more divide a workspace's connections
+LENDERS_PER_DOMAIN = 2  # the second one replaces a lost one
 MAX_SPREAD_LENDERS = 4  # each sends its demand to the others
 
 
@@ -102,6 +102,33 @@
     return selected[: _max_lenders(limit)]
 
 
+def active_lenders(
+    selected: Iterable[str], domains: Mapping[str, str], live: Iterable[str]
+) -> list[str]:
+    """Return the first live lender of each failure domain.
+
+    Parameters
+    ----------
+    selected : iterable of str
+        The result of `domain_lenders`.
+    domains : mapping of str to str
+        Failure domain of each live lender.
+    live : iterable of str
+
+    Examples
+    --------
+    >>> domains = {'p1': 'a', 'p2': 'b', 'p3': 'a', 'p4': 'b'}
+    >>> active_lenders(['p1', 'p2', 'p3', 'p4'], domains, ['p2', 'p3', 'p4'])
+    ['p2', 'p3']
+    """
+    known = set(live)
+    first_of_domain: dict[str, str] = {}
+    for name in selected:
+        if name in known:
+            first_of_domain.setdefault(domains[name], name)
+    return list(first_of_domain.values())
+
+
 def _max_lenders(limit: int) -> int:
     return max(lendable(limit) // MIN_CONNECTIONS_PER_LENDER, 1)
 
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -10,6 +10,7 @@
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.lending import (
+    active_lenders,
     choose_lender,
     domain_lenders,
     lenders,
@@ -234,10 +235,20 @@
             without a lender, any proxy opens connections directly.
         """
         lender_names = self.lender_names(server)
-        if self._tables.name in lender_names:
+        configuration = self._tables.configuration
+        is_lender = self._tables.name in lender_names
+        divided = configuration is not None and bool(configuration.workspaces)
+        if is_lender and not divided:
             return OPEN_DIRECTLY
         now = steady_seconds()
-        lender = self._live_lender(server, workspace, lender_names, now)
+        live = self._live_peers(lender_names, now)
+        if divided:
+            live = self._active(lender_names, live)
+        if self._tables.name in live:
+            return OPEN_DIRECTLY
+        lender = self._live_lender(
+            server, workspace if divided else self._tables.name, live
+        )
         if lender is not None:
             self._no_lender_since.pop(server.name, None)
             return lender
@@ -246,29 +257,32 @@
             OPEN_DIRECTLY if now - since >= NO_LENDER_TIMEOUT_S else NO_LENDER
         )
 
-    def _live_lender(
-        self,
-        server: Server,
-        workspace: str,
-        lender_names: list[str],
-        now: float,
-    ) -> str | None:
+    def _active(self, lender_names: list[str], live: set[str]) -> set[str]:
+        """Return the lenders in use; this proxy is live to itself."""
+        tables = self._tables
+        domains = {name: tables.peers[name].failure_domain for name in live}
+        domains[tables.name] = tables.failure_domain
+        return set(active_lenders(lender_names, domains, domains))
+
+    def _live_peers(self, lender_names: list[str], now: float) -> set[str]:
         tables = self._tables
-        live = {
+        return {
             name
             for name in lender_names
             if name in tables.peers
             and not tables.peers[name].draining
             and now - tables.peers[name].heard_at < LENDER_SILENT_S
         }
+
+    def _live_lender(
+        self, server: Server, key: str, live: set[str]
+    ) -> str | None:
+        tables = self._tables
         near = frozenset(
             name
             for name in live
             if tables.peers[name].failure_domain == tables.failure_domain
         )
-        configuration = tables.configuration
-        divided = configuration is not None and configuration.workspaces
-        key = workspace if divided else tables.name
         return choose_lender(server.name, key, live, near)
 
     async def borrow(
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -114,6 +114,9 @@
                 pool = self.pool(server)
                 load = server_load(tables, server.name)
                 load.demand = decayed_demand(load.demand, pool.peak)
+                if self._divided and not pool.retains_idle:
+                    # The active lender's demand includes that of its loans.
+                    load.demand = 0
                 pool.begin_period()
                 self._update_limit(pool)
                 keeps_spares = pool.retains_idle and not server.leaving
@@ -271,6 +274,9 @@
         if source == NO_LENDER:
             return NOT_LENT
         if source == OPEN_DIRECTLY:
+            pool = self.pool(server)
+            if not pool.retains_idle:  # this proxy has just become the lender
+                self._update_limit(pool)
             return await self._open_connection(server, workspace, timeout_s)
         return await self._borrowing.borrow(source, server, connection_request)
 
--- a/packages/toucandeald/src/toucandeald/tests/test_workspace_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_workspace_loans.py
@@ -13,7 +13,7 @@
     ProxyRecord,
     Server,
 )
-from toucandeal.fleet_tables import FleetTables, PeerView
+from toucandeal.fleet_tables import FleetTables, PeerView, server_load
 from toucandeal.lending import domain_lenders
 from toucandeal.statement_queue import ConnectionRequest
 from toucandeal.workspaces import Workspace
@@ -91,6 +91,11 @@
         )
         self.lending = Lending(self.tables, self.pools, self, self.record)
 
+    @property
+    def demands(self):
+        """Return the demand for connections by server."""
+        return {name: load.demand for name, load in self.tables.loads.items()}
+
     async def open(self, server, workspace, timeout_s):
         """Open a connection of a workspace."""
         del server, timeout_s
@@ -155,6 +160,7 @@
                         False,
                         True,
                         {},
+                        demands=other.demands,
                         failure_domain=DOMAINS[name],
                     )
 
@@ -218,6 +224,46 @@
     assert lender.acquire('a').workspace == 'a'
 
 
+def test_only_one_lender_of_a_domain_opens_connections(fleet):
+    # Guards against a domain's connections to a server that are split between
+    # its lenders, and against room that the unused one keeps by its demand.
+    lender_names = _lenders()
+    for proxy in fleet.proxies.values():
+        for workspace in WORKSPACES:
+            proxy.pools.release(SERVER, proxy.acquire(workspace))
+            fleet.deliver_messages()
+    openers = {name for name, _ in fleet.opened}
+    assert openers == set(lender_names[:2])
+    assert len(fleet.opened) == 2 * len(WORKSPACES)
+    for proxy in fleet.proxies.values():
+        proxy.pools.update_pools()
+    fleet.exchange_heartbeats()
+    limits = {}
+    for name in lender_names:
+        pools = fleet.proxies[name].pools
+        pools.update_pools()
+        limits[name] = pools.pool(SERVER).limit
+        demand = server_load(fleet.proxies[name].tables, 'i-1').demand
+        assert (demand > 0) == (name in openers)
+    assert sum(limits[name] for name in openers) <= LIMIT / 2
+    assert min(limits[name] for name in openers) >= LIMIT / 6
+
+
+def test_the_second_lender_of_a_domain_takes_over_from_a_draining_one(fleet):
+    # Guards against a lender that goes on borrowing from one that leaves.
+    first, second = (
+        name for name in _lenders() if DOMAINS[name] == DOMAINS[NAMES[0]]
+    )
+    standby = fleet.proxies[second]
+    assert standby.borrowing.source(SERVER, 'a') == first
+    peers = standby.tables.peers
+    peers[first] = peers[first]._replace(draining=True)
+    assert standby.borrowing.source(SERVER, 'a') == OPEN_DIRECTLY
+    peers[first] = peers[first]._replace(draining=False)
+    fleet.clock.advance(LENDER_SILENT_S + 0.1)
+    assert standby.borrowing.source(SERVER, 'a') == OPEN_DIRECTLY
+
+
 def test_a_dead_lender_is_replaced_by_the_other_one_of_the_domain(fleet):
     # Guards against a workspace that waits for its dead lender.
     borrower = _borrower(fleet)
