Prefer one replica for the reads of a workspace

With workspaces, place_read adds 12 ms, the time that opening a connection takes, to the cost of each server except the first eligible replica in rendezvous order for the workspace. Without workspaces nothing changes.

--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -6,6 +6,7 @@
 read instead of answering with stale data.
 """
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from toucandeal.fleet import Route, RouteKind, Server
@@ -16,6 +17,7 @@
     server_load,
     usable_primary,
 )
+from toucandeal.membership import rendezvous_order
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.read_crossing import (
     PRIMARY_COST_FACTOR,
@@ -34,6 +36,8 @@
 FRESHNESS_MARGIN_S = 0.15  # network transit of a read and of the sample
 # For a server in another failure domain, without a declared crossing cost.
 REMOTE_COST_FACTOR = 1.3
+# Measured time that opening a connection occupies one of a server's slots.
+OPENING_COST_S = 0.012
 PROMOTION_RETRY_S = 0.6  # usual duration of a promotion
 UNAVAILABLE_RETRY_S = 0.1
 
@@ -94,6 +98,7 @@
     seen: LogPosition,
     now: float,
     tried: frozenset[str],
+    workspace: str = '',
 ) -> Placement | Refusal:
     """Return the server for a read.
 
@@ -107,6 +112,8 @@
         Seconds.
     tried : frozenset of str
         Servers that could not serve this read.
+    workspace : str
+        The workspace of the read; empty if there are none.
     """
     if route.kind is RouteKind.PRIMARY:
         return place_write(tables, route, now)
@@ -122,6 +129,8 @@
     }
     if not costs:
         return _refuse_without_primary(group)
+    if workspace and tables.configuration.workspaces:
+        costs = _with_affinity(costs, primary, workspace)
     choice = choose_server(
         tables,
         ReadCosts(costs, primary),
@@ -151,6 +160,24 @@
     )
 
 
+def _with_affinity(
+    costs: Mapping[Server, float], primary: Server | None, workspace: str
+) -> dict[Server, float]:
+    """Return the costs, with that of an opening except at one replica.
+
+    A workspace that reads mostly at one replica needs fewer connections. If
+    that one is busy, the others are cheaper in spite of the opening.
+    """
+    replicas = [server.name for server in costs if server is not primary]
+    preferred = rendezvous_order(replicas, workspace)[:1]
+    return {
+        server: cost
+        if not preferred or server.name in preferred
+        else cost + OPENING_COST_S
+        for server, cost in costs.items()
+    }
+
+
 def _read_requirement(
     group, route: Route, seen: LogPosition, now: float
 ) -> ReadRequirement | None:
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -4,6 +4,7 @@
 
 from toucandeal.fleet import GroupRecord, RouteKind
 from toucandeal.fleet_tables import apply_record, record_position, server_load
+from toucandeal.membership import rendezvous_order
 from toucandeal.placement import (
     Placement,
     Refusal,
@@ -19,6 +20,7 @@
     record_primary_position,
     renew_lease,
 )
+from toucandeal.workspaces import Workspace
 
 NONE = frozenset()
 
@@ -29,8 +31,9 @@
     seen=NOTHING_SEEN,
     kind=RouteKind.READ_YOUR_WRITES,
     tried=NONE,
+    workspace='',
 ):
-    return place_read(tables, new_route(kind), seen, now, tried)
+    return place_read(tables, new_route(kind), seen, now, tried, workspace)
 
 
 def test_a_write_goes_to_the_primary():
@@ -151,3 +154,60 @@
         server_load(tables, name).in_flight = 5
     placement = _read(tables)
     assert isinstance(placement, Placement) and placement.server.name == 'a'
+
+
+def _with_workspaces(names):
+    tables = new_tables()
+    tables.configuration = tables.configuration._replace(
+        workspaces={name: Workspace(name) for name in names}
+    )
+    record_primary_position(tables, 7, NOW)
+    for name in 'abc':
+        server_load(tables, name).latency_s = 0.02
+    return tables
+
+
+def test_the_reads_of_a_workspace_prefer_one_replica():
+    # Guards against workspaces whose reads alternate between the replicas with
+    # every small change of the load, each time with a new connection.
+    names = [f'w{number}' for number in range(20)]
+    tables = _with_workspaces(names)
+    chosen = {}
+    for name in names:
+        preferred = rendezvous_order(('b', 'c'), name)[0]
+        server_load(tables, preferred).latency_s = 0.025
+        chosen[name] = _read(tables, workspace=name).server.name
+        assert chosen[name] == preferred
+        server_load(tables, preferred).latency_s = 0.02
+    assert set(chosen.values()) == {'b', 'c'}
+
+
+def test_the_reads_of_a_busy_workspace_use_all_replicas():
+    # Guards against a large workspace that waits at one replica while others
+    # are idle.
+    tables = _with_workspaces(['w'])
+    used = []
+    for _ in range(8):
+        used.append(_read(tables, workspace='w').server.name)
+        server_load(tables, used[-1]).in_flight += 1
+    assert min(used.count('b'), used.count('c')) >= 3
+
+
+def test_without_workspaces_reads_have_no_affinity():
+    # Guards against a deployment without workspaces that decides differently.
+    tables = _with_workspaces([])
+    for cheaper in 'bc':
+        server_load(tables, cheaper).latency_s = 0.019
+        for name in ('', 'w1', 'w2', 'w3'):
+            assert _read(tables, workspace=name).server.name == cheaper
+        server_load(tables, cheaper).latency_s = 0.02
+
+
+def test_an_unavailable_preferred_replica_is_replaced():
+    # Guards against reads that wait for the preferred replica, or that all go
+    # to the primary instead.
+    tables = _with_workspaces(['w'])
+    first, second = rendezvous_order(('b', 'c'), 'w')
+    server_load(tables, first).avoided_until = NOW + 1
+    assert _read(tables, workspace='w').server.name == second
+    assert _read(tables, tried=frozenset((second,)), workspace='w').on_primary
--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -99,6 +99,7 @@
                     call.session.seen,
                     now,
                     tried,
+                    call.session.workspace,
                 )
                 if transaction.read_only
                 else place_write(self._context.tables, call.route, now)
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -114,6 +114,7 @@
             call.session.seen,
             steady_seconds(),
             tried,
+            call.session.workspace,
         )
 
     async def _run_write(self, call: StatementCall) -> CallerReply:
