Divide the rates' votes by own reads of the registered proxies

A proxy cut off from the store and heard only by a peer with an old list went on voting, as that peer relayed a fresh lease, while the others divided the limit without it: 401 operations in a window with a bound of 383. A coordinator cut off from the store did not know of newcomers either.

--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
@@ -16,7 +16,7 @@
 SLACK = 20.0
 SERVED_SHARE = 0.97
 NAMES = ['p1', 'p2', 'p3', 'p4']
-SETTLE_S = 16.0  # newcomers vote after 11 s, silent proxies count 3.5 s longer
+SETTLE_S = 16.0  # newcomers vote after 11 s
 LIMIT = Workspace('w', 1, 60.0, 30.0)
 proxies = st.sampled_from(NAMES)
 
@@ -159,6 +159,44 @@
     _check_windows(fleet, LIMIT)
 
 
+def test_a_coordinator_without_the_store_does_not_grant_newcomers_shares():
+    """Guards against a coordinator that does not know of later proxies.
+
+    Its lease is renewed by peers that read the store, but its list is old.
+    """
+    fleet = _fleet(NAMES[1:3], LIMIT, 4)
+    fleet.run(12)
+    name = fleet.coordinator('p2')
+    fleet.proxies[name].reads_store = False
+    for newcomer in ('p1', 'p4'):
+        fleet.cut |= {(name, newcomer), (newcomer, name)}
+        fleet.start(newcomer)
+        fleet.demand[newcomer, 'w'] = 2 * LIMIT.rate_per_s
+    fleet.run(1)
+    for newcomer in ('p1', 'p4'):
+        fleet.proxies[newcomer].reads_store = False
+    fleet.run(30)
+    _check_windows(fleet, LIMIT)
+
+
+@pytest.mark.parametrize('alone', NAMES[:3])
+@pytest.mark.parametrize('relaying', NAMES[:3])
+def test_a_relayed_lease_is_no_evidence_that_a_proxy_counts(alone, relaying):
+    """Guards against a silent proxy whose lease a peer with an old list renews.
+
+    The third proxy reads the store, and divides the limit without it.
+    """
+    names = NAMES[:3]
+    fleet = _fleet(names, LIMIT, 4)
+    fleet.run(15)
+    for name in (alone, relaying):
+        fleet.proxies[name].reads_store = False
+    for name in set(names) - {alone, relaying}:
+        fleet.cut |= {(name, alone), (alone, name)}
+    fleet.run(30)
+    _check_windows(fleet, LIMIT)
+
+
 class RatesUnderFaults(RuleBasedStateMachine):
     """Four proxies under faults, one workspace with twice its limit or more.
 
--- a/packages/toucandeald/src/toucandeald/rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordination.py
@@ -32,6 +32,7 @@
     limited_workspaces,
     rate_limit,
 )
+from toucandeald.rate_membership import RateMembership
 from toucandeald.rate_offices import Office, RateOffices, positive_counts
 from toucandeald.rate_wire import RateGrant, RateReport
 from toucandeald.steady_clock import steady_seconds
@@ -65,10 +66,13 @@
         self._tables = tables
         self._own = own
         self._send = send
-        self._coordinator = RateCoordinator(clock, tables, own, self._send_to)
+        self._membership = RateMembership(tables)
+        self._coordinator = RateCoordinator(
+            clock, tables, own, self._membership, self._send_to
+        )
         self._balances: dict[str, RateBalance] = {}
         self._waiting: dict[str, collections.deque[_Waiter]] = {}
-        self._offices = RateOffices(tables)
+        self._offices = RateOffices(tables, self._membership)
         self._ticked_at = steady_seconds()
         self._urgent_timer = None
 
@@ -80,6 +84,7 @@
             self._release_waiting(name)
         if not limits:
             return
+        self._membership.update(now)
         self._coordinator.tick(now)
         self._offices.update()
         if now - self._ticked_at > MAX_TICK_GAP_S:
--- a/packages/toucandeald/src/toucandeald/rate_coordinator.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordinator.py
@@ -6,7 +6,7 @@
 
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables
-from toucandeal.primary_lease import counted_proxies, evidence_as_of
+from toucandeal.primary_lease import evidence_as_of
 from toucandeal.rate_limits import (
     VOTE_VALID_S,
     RateBucket,
@@ -21,29 +21,24 @@
     vote_weight,
 )
 from toucandeal.workspaces import Workspace
+from toucandeald.rate_membership import RateMembership
 from toucandeald.rate_wire import RateGrant, RateReport
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = [
-    'PEER_LIVE_S',
     'RateCoordinator',
     'limited_workspaces',
     'rate_limit',
-    'sharing_proxies',
 ]
 
 # A proxy that its peers may have marked as silent, after 2.5 s, grants none.
 EVIDENCE_VALID_S = 2.0
-# A proxy that is marked as silent may not know it, and vote and grant tokens,
-# for as long: proxies learn of a changed membership up to 3 s apart.
-SILENT_COUNTS_S = 3.5
 DIVISION_INTERVAL_S = 0.01  # of tokens that come while proxies wait for them
 FILL_INTERVAL_S = 0.2  # of buckets that are not used
 VIEW_VALID_S = 0.02  # of the counted proxies, instead of once for each report
 # Two reports of a proxy with waiting operations. Tokens granted later would
 # be held where no operation waits any more.
 UNMET_VALID_S = 0.1
-PEER_LIVE_S = 1.0
 
 Send = Callable[[str, str, RateGrant], None]
 
@@ -52,15 +47,20 @@
     """The buckets of the shards that other proxies vote for this one in."""
 
     def __init__(
-        self, clock, tables: FleetTables, own: ProxyRecord, send: Send
+        self,
+        clock,
+        tables: FleetTables,
+        own: ProxyRecord,
+        membership: RateMembership,
+        send: Send,
     ) -> None:
         """Initialize with `send`, which takes a name, address and message."""
+        self._membership = membership
         self._clock = clock
         self._tables = tables
         self._own = own
         self._send = send
         self._shards: dict[str, _Shard] = {}
-        self._silent_since: dict[ProxyRecord, float] = {}
         self._view = _View(-math.inf, frozenset(), 1, -math.inf)
         self._filled_at = -math.inf
         self._dividing = None
@@ -68,7 +68,7 @@
     def received(self, report: RateReport) -> None:
         """Record a proxy's vote and requests, and answer with a grant."""
         now = steady_seconds()
-        if self._tables.draining:
+        if self._tables.draining or self._is_outdated(now):
             self._release(report, now)
             return
         shard = self._shards.setdefault(report.shard, _Shard(now))
@@ -76,8 +76,8 @@
         known = shard.reports.get(report.sender)
         if known is not None and _is_older(report, known):
             return
-        counted = report.sender in self._view.counted
-        if counted and report.echo_incarnation == self._own.incarnation:
+        may_vote = report.sender in self._view.voters
+        if may_vote and report.echo_incarnation == self._own.incarnation:
             valid_until = report.echo + VOTE_VALID_S
             if valid_until > now:
                 record_vote(shard.votes, report.sender, valid_until)
@@ -108,6 +108,13 @@
             for limit in limits.values():
                 self._filled_bucket(shard, limit)
 
+    def _is_outdated(self, now: float) -> bool:
+        """Return whether this proxy's list of proxies is too old to grant.
+
+        Its peers may read the store meanwhile, so its voters are released.
+        """
+        return -math.inf < self._membership.own_counted_until <= now
+
     def _release(self, report: RateReport, now: float) -> None:
         self._shards.clear()
         self._send(
@@ -135,36 +142,17 @@
 
     def _current_view(self, now: float) -> '_View':
         if now - self._view.at >= VIEW_VALID_S:
-            lease = self._tables.primary_lease
+            membership = self._membership
+            membership.update(now)
+            evidence = evidence_as_of(self._tables.primary_lease, now)
             self._view = _View(
                 now,
-                frozenset(counted_proxies(lease)),
-                self._proxy_count(now),
-                evidence_as_of(lease, now) + EVIDENCE_VALID_S,
+                membership.voters(now),
+                len(membership.sharers(now)),
+                min(evidence + EVIDENCE_VALID_S, membership.own_counted_until),
             )
         return self._view
 
-    def _proxy_count(self, now: float) -> int:
-        """Return among how many proxies the votes may be divided.
-
-        Proxies that have just been marked as silent, and live ones that this
-        proxy does not count yet, may vote for another coordinator. A record
-        with another version is that of a proxy that registered in between, as
-        one does that only its peers cannot hear.
-        """
-        registered = self._tables.primary_lease.registered
-        self._silent_since = {
-            record: self._silent_since.get(record, now)
-            for record in registered.values()
-            if record.silent
-        }
-        recent = {
-            record.name
-            for record, since in self._silent_since.items()
-            if now - since < SILENT_COUNTS_S
-        }
-        return len(sharing_proxies(self._tables, now) | recent)
-
     def _filled_bucket(self, shard: '_Shard', limit: Workspace) -> RateBucket:
         bucket = shard.buckets.get(limit.name)
         if bucket is None:
@@ -253,12 +241,13 @@
 class _View(NamedTuple):
     """The proxies as this one sees them `at` a time.
 
-    Votes may be divided among `proxies`. Until `evidence_until`, the peers
-    cannot have both marked this proxy as silent and filled its share.
+    Votes may be divided among `proxies`; those of `voters` count. Until
+    `evidence_until`, the peers cannot have both marked this proxy as silent
+    and filled its share.
     """
 
     at: float
-    counted: frozenset[str]
+    voters: frozenset[str]
     proxies: int
     evidence_until: float
 
@@ -329,13 +318,3 @@
     if workspace is None or workspace.rate_per_s is None:
         return None
     return workspace
-
-
-def sharing_proxies(tables: FleetTables, now: float) -> set[str]:
-    """Return the proxies that are counted here, or live and not yet counted."""
-    live = {
-        peer.name
-        for peer in tables.peers.values()
-        if now - peer.heard_at < PEER_LIVE_S
-    }
-    return counted_proxies(tables.primary_lease) | live
--- a/packages/toucandeald/src/toucandeald/rate_offices.py
+++ b/packages/toucandeald/src/toucandeald/rate_offices.py
@@ -3,7 +3,7 @@
 import math
 
 from toucandeal.fleet_tables import FleetTables
-from toucandeal.primary_lease import counted_proxies, may_begin_promotion
+from toucandeal.primary_lease import counted_proxies
 from toucandeal.rate_limits import (
     VOTE_VALID_S,
     coordinator_order,
@@ -11,7 +11,7 @@
     workspace_shard,
 )
 from toucandeald.logs import log_event
-from toucandeald.rate_coordinator import PEER_LIVE_S
+from toucandeald.rate_membership import PEER_LIVE_S, RateMembership
 from toucandeald.rate_wire import RateGrant
 from toucandeald.steady_clock import steady_seconds
 
@@ -64,10 +64,11 @@
 class RateOffices:
     """The offices by shard, and the rules of this proxy's votes."""
 
-    def __init__(self, tables: FleetTables) -> None:
+    def __init__(self, tables: FleetTables, membership: RateMembership) -> None:
         """Start without shards."""
         self.by_shard: dict[str, Office] = {}
         self._tables = tables
+        self._membership = membership
         self._avoided: dict[str, float] = {}
         # An earlier process of the same name may have voted until now.
         self._voted_at = steady_seconds()
@@ -113,21 +114,23 @@
         changed = office.voted_for != office.name
         if changed and now - office.voted_at < VOTE_VALID_S:
             return False
-        counted_by = {
-            peer.name
-            for peer in self._tables.peers.values()
-            if peer.counts_this_proxy
-        }
-        return may_begin_promotion(self._tables.primary_lease, counted_by, now)
+        return self._membership.is_established
 
     def _candidates(self, now: float) -> list[str]:
-        """Return the live counted proxies that may coordinate."""
+        """Return the live proxies that may coordinate.
+
+        One that a peer has just marked as silent, and that is heard, remains.
+        """
         tables = self._tables
+        membership = self._membership
         candidates = []
-        for name in counted_proxies(tables.primary_lease):
+        counted = counted_proxies(tables.primary_lease)
+        for name in counted | membership.voters(now):
             peer = tables.peers.get(name)
             if name == tables.name:
-                live = not tables.draining
+                live = (
+                    not tables.draining and now < membership.own_counted_until
+                )
             else:
                 live = (
                     peer is not None
