Keep the rates within tighter bounds than the default, or refuse them

The constants fit 5 s, 10 % and 20 operations. A window or overage too small for the validity of tokens lowers the share of the limits that is granted; a slack below that of a changed coordinator is a BadSetting at the start.

--- a/packages/toucandeal/src/toucandeal/rate_limits.py
+++ b/packages/toucandeal/src/toucandeal/rate_limits.py
@@ -139,14 +139,14 @@
 
 
 def advance_votes(
-    votes: VoteCount, proxies: int, evidence_until: float, now: float
+    votes: VoteCount, proxies: float, evidence_until: float, now: float
 ) -> None:
     """Add the time since the last call to the integral of the votes.
 
     Parameters
     ----------
     votes : VoteCount
-    proxies : int
+    proxies : float
         All proxies among which votes may be divided.
     evidence_until : float
         The end of the time in which this proxy is certainly counted.
@@ -174,7 +174,7 @@
     }
 
 
-def vote_weight(votes: VoteCount, proxies: int) -> float:
+def vote_weight(votes: VoteCount, proxies: float) -> float:
     """Return the share of the proxies whose votes are valid now."""
     voters = len(votes.valid_until)
     return voters / max(proxies, voters, 1)
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -17,7 +17,7 @@
 from toucandeald.confirmations import Confirmations
 from toucandeald.connection_pool import OpenConnection
 from toucandeald.domain_crossing import DomainCrossing
-from toucandeald.fleet_settings import FleetSettings
+from toucandeald.fleet_settings import FleetSettings, RateBounds, granted_share
 from toucandeald.fleet_shutdown import FleetShutdown
 from toucandeald.fleet_wire import FleetMessage
 from toucandeald.forwarding import Forwarding
@@ -99,7 +99,13 @@
 def running_fleet(
     reactor, settings: FleetSettings, ports: FleetPorts
 ) -> Iterator[FleetParts]:
-    """Build the components, and close the sockets between proxies at exit."""
+    """Build the components, and close the sockets between proxies at exit.
+
+    Raises
+    ------
+    BadSetting
+        The bounds of the rates are too tight.
+    """
     own = ProxyRecord(
         settings.name,
         random.SystemRandom().randrange(1, INCARNATIONS),
@@ -183,7 +189,9 @@
                 own,
                 first_start=settings.first_start,
             ),
-            _new_rates(reactor, tables, own, gossip, service),
+            _new_rates(
+                reactor, tables, own, gossip, service, settings.rate_bounds
+            ),
             DomainCrossing(tables, metrics),
         )
     finally:
@@ -204,8 +212,15 @@
     own: ProxyRecord,
     gossip: Gossip,
     service: SessionService,
+    bounds: RateBounds,
 ) -> RateCoordination:
-    rates = RateCoordination(reactor, tables, own, gossip.send)
+    rates = RateCoordination(
+        reactor,
+        tables,
+        own,
+        gossip.send,
+        granted_share=granted_share(bounds),
+    )
     gossip.on_rate_message = rates.received
     service.rates = RateAdmission(tables, rates, service.fail_transaction)
     return rates
--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -2,7 +2,13 @@
 
 from typing import NamedTuple
 
-__all__ = ['FleetSettings', 'RateBounds']
+from toucandeal.errors import BadSetting
+from toucandeal.rate_balances import TOKEN_VALID_S
+
+__all__ = ['FleetSettings', 'RateBounds', 'granted_share']
+
+# A bucket of 10 tokens, and the 10 of a new coordinator.
+LEAST_SLACK = 20.0
 
 
 class RateBounds(NamedTuple):
@@ -16,6 +22,40 @@
     slack: float = 20.0
 
 
+def granted_share(bounds: RateBounds) -> float:
+    """Return the share of the limits that may be granted within the bounds.
+
+    Tokens spent in a window were granted in the window or in the validity of
+    a token before it, which the overage must cover.
+
+    Raises
+    ------
+    BadSetting
+        No share of the limits keeps within the bounds.
+
+    Examples
+    --------
+    >>> granted_share(RateBounds())
+    1.0
+    >>> granted_share(RateBounds(window_s=4.5, overage=0.0))
+    0.9
+    """
+    if not (bounds.window_s > 0 and bounds.overage >= 0):
+        raise BadSetting(
+            f'The rate window of {bounds.window_s} s with an overage of '
+            f'{bounds.overage} is invalid',
+            'Set a window above 0 and an overage of 0 or more',
+        )
+    if not bounds.slack >= LEAST_SLACK:
+        raise BadSetting(
+            f'The rate slack of {bounds.slack} operations is too small',
+            f'Set it to {LEAST_SLACK:g} or more, which a changed coordinator '
+            'of the rates needs',
+        )
+    allowed_s = bounds.window_s * (1 + bounds.overage)
+    return min(allowed_s / (bounds.window_s + TOKEN_VALID_S), 1.0)
+
+
 class FleetSettings(NamedTuple):
     """Name, listen addresses and limits of a proxy.
 
--- a/packages/toucandeald/src/toucandeald/rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordination.py
@@ -58,9 +58,18 @@
     """The tokens that this proxy has, and its votes for coordinators."""
 
     def __init__(
-        self, clock, tables: FleetTables, own: ProxyRecord, send: Send
+        self,
+        clock,
+        tables: FleetTables,
+        own: ProxyRecord,
+        send: Send,
+        *,
+        granted_share: float = 1.0,
     ) -> None:
-        """Initialize with `send`, which takes an address and a message."""
+        """Initialize with `send`, which takes an address and a message.
+
+        Only the `granted_share` of the limits is granted.
+        """
         self.on_decision: CountToken = _ignore
         self._clock = clock
         self._tables = tables
@@ -68,7 +77,12 @@
         self._send = send
         self._membership = RateMembership(tables)
         self._coordinator = RateCoordinator(
-            clock, tables, own, self._membership, self._send_to
+            clock,
+            tables,
+            own,
+            self._membership,
+            self._send_to,
+            granted_share,
         )
         self._balances: dict[str, RateBalance] = {}
         self._waiting: dict[str, collections.deque[_Waiter]] = {}
--- a/packages/toucandeald/src/toucandeald/rate_coordinator.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordinator.py
@@ -53,8 +53,10 @@
         own: ProxyRecord,
         membership: RateMembership,
         send: Send,
+        granted_share: float,
     ) -> None:
         """Initialize with `send`, which takes a name, address and message."""
+        self._granted_share = granted_share
         self._membership = membership
         self._clock = clock
         self._tables = tables
@@ -148,7 +150,7 @@
             self._view = _View(
                 now,
                 membership.voters(now),
-                len(membership.sharers(now)),
+                len(membership.sharers(now)) / self._granted_share,
                 min(evidence + EVIDENCE_VALID_S, membership.own_counted_until),
             )
         return self._view
@@ -241,14 +243,15 @@
 class _View(NamedTuple):
     """The proxies as this one sees them `at` a time.
 
-    Votes may be divided among `proxies`; those of `voters` count. Until
+    Votes may be divided among `proxies`; those of `voters` count. The
+    number is higher if less than the limits may be granted. Until
     `evidence_until`, the peers cannot have both marked this proxy as silent
     and filled its share.
     """
 
     at: float
     voters: frozenset[str]
-    proxies: int
+    proxies: float
     evidence_until: float
 
 
@@ -261,7 +264,7 @@
         self.buckets: dict[str, RateBucket] = {}
         self.reports: dict[str, RateReport] = {}
         self.received_at: dict[str, float] = {}
-        self.proxies = 1
+        self.proxies = 1.0
         self.may_grant = False
 
     @property
--- a/packages/toucandeald/src/toucandeald/tests/test_rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_rate_coordination.py
@@ -5,6 +5,7 @@
 from twisted.internet.task import Clock
 
 from toucandeal.caller_sessions import CallerSession, OpenTransaction
+from toucandeal.errors import BadSetting
 from toucandeal.fleet import (
     FleetConfiguration,
     ProxyRecord,
@@ -17,6 +18,7 @@
 from toucandeal.primary_lease import record_store_read
 from toucandeal.rate_limits import coordinator_order
 from toucandeal.workspaces import Workspace
+from toucandeald.fleet_settings import RateBounds, granted_share
 from toucandeald.rate_admission import OVER_LIMIT, RateAdmission
 from toucandeald.rate_coordination import RateCoordination
 from toucandeald.rate_wire import RateGrant, RateReport
@@ -34,7 +36,7 @@
 class TwoProxies:
     """Two proxies that count each other; messages arrive with `deliver`."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, limit=LIMIT, granted_share=1.0):
         self.clock = clock
         self.queued = []
         self.proxies = {}
@@ -42,11 +44,15 @@
         for name, record in RECORDS.items():
             tables = FleetTables(name, 'z')
             tables.configuration = FleetConfiguration(
-                1, {'db': ROUTE}, {}, 30.0, {'w': LIMIT}
+                1, {'db': ROUTE}, {}, 30.0, {'w': limit}
             )
             self.tables[name] = tables
             self.proxies[name] = RateCoordination(
-                self.clock, tables, record, self._send
+                self.clock,
+                tables,
+                record,
+                self._send,
+                granted_share=granted_share,
             )
 
     def _send(self, address, message):
@@ -202,6 +208,47 @@
     assert outcomes == [None]
 
 
+@pytest.mark.parametrize(
+    'bounds',
+    [
+        RateBounds(slack=19.0),
+        RateBounds(slack=float('nan')),
+        RateBounds(window_s=0.0),
+        RateBounds(overage=-0.1),
+    ],
+)
+def test_bounds_that_no_share_of_a_limit_keeps_are_refused(bounds):
+    """Guards against a proxy that runs and exceeds the bounds."""
+    with pytest.raises(BadSetting, match='[Ss]et '):
+        granted_share(bounds)
+
+
+@pytest.mark.parametrize(
+    'bounds', [RateBounds(), RateBounds(overage=0.0), RateBounds(window_s=1.0)]
+)
+@pytest.mark.parametrize('rate', [10.0, 100.0])
+def test_the_granted_share_keeps_within_tighter_bounds(bounds, rate):
+    """Guards against constants that fit only the default bounds.
+
+    The tokens of a window, and of 0.5 s before it, count.
+    """
+    clock = Clock()
+    clock.advance(100)
+    limit = LIMIT._replace(rate_per_s=rate)
+    with virtual_time(clock.seconds):
+        pair = TwoProxies(clock, limit, granted_share=granted_share(bounds))
+        pair.advance(5)
+        outcomes = []
+        for _ in range(round((bounds.window_s + 0.5) / TICK_S)):
+            outcomes += [
+                pair.acquire(name) for name in RECORDS for _ in range(60)
+            ]
+            pair.advance(TICK_S)
+    served = sum(outcome == [None] for outcome in outcomes)
+    allowed = rate * bounds.window_s * (1 + bounds.overage)
+    assert 0.9 * allowed - 5 <= served <= allowed + limit.burst + 20
+
+
 class Admission:
     """The admission of one session, with replies that the test chooses."""
 
