--- a/packages/toucandeal/src/toucandeal/rate_limits.py
+++ b/packages/toucandeal/src/toucandeal/rate_limits.py
@@ -162,16 +162,23 @@
     """
     since = votes.advanced_at
     end = min(now, evidence_until)
-    covered_s = sum(
-        max(min(until, end) - since, 0) for until in votes.valid_until.values()
-    )
+    earliest = min(votes.valid_until.values(), default=math.inf)
+    if earliest > now:
+        # Nothing has expired, as in nearly all calls: one for each message.
+        covered_s = max(end - since, 0) * len(votes.valid_until)
+    else:
+        covered_s = sum(
+            max(min(until, end) - since, 0)
+            for until in votes.valid_until.values()
+        )
     votes.weight_s += covered_s / max(proxies, len(votes.valid_until), 1)
     votes.advanced_at = max(now, since)
-    votes.valid_until = {
-        voter: until
-        for voter, until in votes.valid_until.items()
-        if until > now
-    }
+    if earliest <= now:
+        votes.valid_until = {
+            voter: until
+            for voter, until in votes.valid_until.items()
+            if until > now
+        }
 
 
 def vote_weight(votes: VoteCount, proxies: float) -> float:
