--- a/packages/toucandeal/src/toucandeal/rate_limits.py
+++ b/packages/toucandeal/src/toucandeal/rate_limits.py
@@ -139,14 +139,14 @@
 
 
 def advance_votes(
-    votes: VoteCount, proxies: int, evidence_until: float, now: float
+    votes: VoteCount, proxies: float, evidence_until: float, now: float
 ) -> None:
     """Add the time since the last call to the integral of the votes.
 
     Parameters
     ----------
     votes : VoteCount
-    proxies : int
+    proxies : float
         All proxies among which votes may be divided.
     evidence_until : float
         The end of the time in which this proxy is certainly counted.
@@ -162,19 +162,26 @@
     """
     since = votes.advanced_at
     end = min(now, evidence_until)
-    covered_s = sum(
-        max(min(until, end) - since, 0) for until in votes.valid_until.values()
-    )
+    earliest = min(votes.valid_until.values(), default=math.inf)
+    if earliest > now:
+        # Nothing has expired, as in nearly all calls: one for each message.
+        covered_s = max(end - since, 0) * len(votes.valid_until)
+    else:
+        covered_s = sum(
+            max(min(until, end) - since, 0)
+            for until in votes.valid_until.values()
+        )
     votes.weight_s += covered_s / max(proxies, len(votes.valid_until), 1)
     votes.advanced_at = max(now, since)
-    votes.valid_until = {
-        voter: until
-        for voter, until in votes.valid_until.items()
-        if until > now
-    }
+    if earliest <= now:
+        votes.valid_until = {
+            voter: until
+            for voter, until in votes.valid_until.items()
+            if until > now
+        }
 
 
-def vote_weight(votes: VoteCount, proxies: int) -> float:
+def vote_weight(votes: VoteCount, proxies: float) -> float:
     """Return the share of the proxies whose votes are valid now."""
     voters = len(votes.valid_until)
     return voters / max(proxies, voters, 1)
