Start with a small rate slack instead of refusing the settings

A proxy refused to start with a slack below 20, also where no workspace has a rate, so tighter settings would have stopped deployments that the limits do not concern. It now logs that a changed coordinator may exceed the bound by up to 20 operations.

--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -17,7 +17,12 @@
 from toucandeald.confirmations import Confirmations
 from toucandeald.connection_pool import OpenConnection
 from toucandeald.domain_crossing import DomainCrossing
-from toucandeald.fleet_settings import FleetSettings, RateBounds, granted_share
+from toucandeald.fleet_settings import (
+    LEAST_SLACK,
+    FleetSettings,
+    RateBounds,
+    granted_share,
+)
 from toucandeald.fleet_shutdown import FleetShutdown
 from toucandeald.fleet_wire import FleetMessage
 from toucandeald.forwarding import Forwarding
@@ -214,6 +219,8 @@
     service: SessionService,
     bounds: RateBounds,
 ) -> RateCoordination:
+    if bounds.slack < LEAST_SLACK:
+        log_event('rate slack too small', slack=bounds.slack)
     rates = RateCoordination(
         reactor,
         tables,
--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -5,7 +5,7 @@
 from toucandeal.errors import BadSetting
 from toucandeal.rate_balances import TOKEN_VALID_S
 
-__all__ = ['FleetSettings', 'RateBounds', 'granted_share']
+__all__ = ['LEAST_SLACK', 'FleetSettings', 'RateBounds', 'granted_share']
 
 # A bucket of 10 tokens, and the 10 of a new coordinator.
 LEAST_SLACK = 20.0
@@ -40,17 +40,11 @@
     >>> granted_share(RateBounds(window_s=4.5, overage=0.0))
     0.9
     """
-    if not (bounds.window_s > 0 and bounds.overage >= 0):
+    if not (bounds.window_s > 0 and bounds.overage >= 0 and bounds.slack >= 0):
         raise BadSetting(
             f'The rate window of {bounds.window_s} s with an overage of '
-            f'{bounds.overage} is invalid',
-            'Set a window above 0 and an overage of 0 or more',
-        )
-    if not bounds.slack >= LEAST_SLACK:
-        raise BadSetting(
-            f'The rate slack of {bounds.slack} operations is too small',
-            f'Set it to {LEAST_SLACK:g} or more, which a changed coordinator '
-            'of the rates needs',
+            f'{bounds.overage} and a slack of {bounds.slack} is invalid',
+            'Set a window above 0, and an overage and a slack of 0 or more',
         )
     allowed_s = bounds.window_s * (1 + bounds.overage)
     return min(allowed_s / (bounds.window_s + TOKEN_VALID_S), 1.0)
