Let restarted proxies vote for rates at once beside a silent record

A proxy that had been replaced stays registered as silent, counts nobody, and newcomers waited for it for 11 s before they voted, so no coordinator had a vote.

A process now reads before its first registration whether an earlier process of its name is registered and not silent. Coordinators divide by names, so it is a sharer everywhere already and votes after 0.5 s. Ruled out: leaving silent proxies out of the condition for all newcomers, because one that is cut off may still grant for 9 s without knowing them.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
@@ -107,6 +107,10 @@
         self.beats: dict[str, tuple[Beat, float]] = {}
         self.heard: dict[str, float] = {}
         self.rates: RateCoordination | None = None
+        earlier = fleet.registry.get(name)
+        self.tables.replaces_registered = (
+            earlier is not None and not earlier.silent
+        )
         self._fleet = fleet
         self.clock.run(self._start)
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
@@ -143,6 +143,26 @@
     _check_windows(fleet, LIMIT)
 
 
+def test_proxies_that_restart_beside_a_silent_record_serve_at_once():
+    """Guards against 11 s without tokens after a loss of all proxies.
+
+    A proxy that was removed for good stays registered as silent and counts no
+    other one, so the restarted ones must not wait for it.
+    """
+    fleet = _fleet(NAMES, LIMIT, 2)
+    fleet.run(12)
+    fleet.kill('p4')
+    fleet.run(8)
+    assert fleet.registry['p4'].silent
+    for name in NAMES[:3]:
+        fleet.start(name)
+        fleet.demand[name, 'w'] = LIMIT.rate_per_s
+    fleet.run(2)
+    # The removed proxy's part is missing for some seconds.
+    assert _served_share(fleet, LIMIT, 4) >= 0.7 * SERVED_SHARE
+    _check_windows(fleet, LIMIT)
+
+
 def test_two_halves_that_both_read_the_store_keep_within_the_limit():
     """Guards against halves that each divide the limit among themselves.
 
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -160,7 +160,8 @@
 
     `relay_assignment` is None while all proxies exchange heartbeats. Without
     `crossing_cost_s`, a constant factor decides which reads leave the failure
-    domain.
+    domain. `replaces_registered` is whether an earlier process of this name
+    was registered, and not silent, when this one started.
     """
 
     def __init__(self, name: str, failure_domain: str) -> None:
@@ -175,6 +176,7 @@
         self.primary_lease = PrimaryLease(name)
         self.configuration_freshness = ConfigurationFreshness()
         self.draining = False
+        self.replaces_registered = False
         self.relay_assignment: RelayAssignment | None = None
         self.crossing_cost_s: float | None = None
 
--- a/packages/toucandeald/src/toucandeald/rate_membership.py
+++ b/packages/toucandeald/src/toucandeald/rate_membership.py
@@ -118,7 +118,10 @@
         """Apply a list according to which this proxy has been counted."""
         known = self._counted_as_of.get(self._tables.name, -math.inf)
         if version != self._own_version and counted_as_of - known > ABSENCE_S:
-            self.is_established = False
+            # Coordinators divide by names, so the earlier process of a proxy
+            # that has just been restarted is a sharer everywhere already.
+            is_start = self._own_version is None
+            self.is_established = is_start and self._tables.replaces_registered
             self._member_since = counted_as_of
         self._own_version = version
 
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -128,6 +128,7 @@
         # Of all rows at the last read, whether their records are valid or not.
         self._row_versions: dict[str, StoreVersion] = {}
         self.stopped = False
+        self._is_first_registration = True
         # Of the configuration's table, from which the feed continues.
         self._configuration_position: StoreVersion | None = None
 
@@ -457,6 +458,11 @@
             await pause(self._clock, CHECK_INTERVAL_S)
 
     async def _register(self) -> None:
+        if self._is_first_registration:
+            self._is_first_registration = False
+            self._tables.replaces_registered = (
+                await self.registry.was_registered()
+            )
         if not await self.registry.register():
             await pause(self._clock, RETRY_DELAY_S)
         await self.read_records()
