Stop killed proxies of the simulated fleet again

Two tests of relays failed after the merge: the simulation ended a killed proxy by an attribute that the freshness calls had made public under another name, so killed proxies went on registering.

--- a/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
@@ -272,7 +272,7 @@
     def kill(self, name):
         """Stop a proxy for good."""
         self.proxies[name].running = False
-        self.proxies[name].state._stopped = True
+        self.proxies[name].state.stopped = True
 
     def marked(self):
         """Return the proxies whose rows are marked as silent."""
