--- a/packages/toucandeald/src/toucandeald/rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordination.py
@@ -33,7 +33,7 @@
     rate_limit,
 )
 from toucandeald.rate_membership import RateMembership
-from toucandeald.rate_offices import Office, RateOffices, positive_counts
+from toucandeald.rate_shards import RateShards, ShardView, positive_counts
 from toucandeald.rate_wire import RateGrant, RateReport
 from toucandeald.steady_clock import steady_seconds
 
@@ -86,7 +86,7 @@
         )
         self._balances: dict[str, RateBalance] = {}
         self._waiting: dict[str, collections.deque[_Waiter]] = {}
-        self._offices = RateOffices(tables, self._membership)
+        self._shards = RateShards(tables, self._membership)
         self._ticked_at = steady_seconds()
         self._urgent_timer = None
 
@@ -100,16 +100,16 @@
             return
         self._membership.update(now)
         self._coordinator.tick(now)
-        self._offices.update()
+        self._shards.update()
         if now - self._ticked_at > MAX_TICK_GAP_S:
             # This proxy was paused, so answers may still be in its queue.
-            for resumed in self._offices.by_shard.values():
+            for resumed in self._shards.by_shard.values():
                 resumed.chosen_at = now
         self._ticked_at = now
-        for shard, office in self._offices.by_shard.items():
-            self._offices.choose(shard, office, now)
-            if now - office.reported_at >= REPORT_INTERVAL_S:
-                self._report(shard, office, self._balances)
+        for shard, shard_view in self._shards.by_shard.items():
+            self._shards.choose(shard, shard_view, now)
+            if now - shard_view.reported_at >= REPORT_INTERVAL_S:
+                self._report(shard, shard_view, self._balances)
 
     def received(self, message: RateReport | RateGrant) -> None:
         """Handle a message of a coordinator or of a proxy that reports."""
@@ -155,13 +155,15 @@
     def _refuse(self, limit: Workspace, balance: RateBalance) -> float:
         now = steady_seconds()
         missing = len(self._waiting.get(limit.name, ())) + 1
-        office = self._offices.by_shard.get(self._offices.shard_of(limit.name))
+        shard_view = self._shards.by_shard.get(
+            self._shards.shard_of(limit.name)
+        )
         log_event(
             'over the rate limit',
             workspace=limit.name,
             limit=limit.rate_per_s,
             wanted=missing + held_tokens(balance),
-            grant_age_s=office and round(now - office.answered_at, 3),
+            grant_age_s=shard_view and round(now - shard_view.answered_at, 3),
         )
         return retry_delay(missing, limit.rate_per_s)
 
@@ -194,13 +196,13 @@
 
         Otherwise tokens that others wait for would be granted to this proxy.
         """
-        shard = self._offices.shard_of(workspace)
-        office = self._offices.by_shard.get(shard)
-        if office is None or self._waiting[workspace]:
+        shard = self._shards.shard_of(workspace)
+        shard_view = self._shards.by_shard.get(shard)
+        if shard_view is None or self._waiting[workspace]:
             return
-        if workspace in office.unmet:
+        if workspace in shard_view.unmet:
             waiting = self._waiting_by_shard().get(shard, [])
-            self._report(shard, office, [*waiting, workspace])
+            self._report(shard, shard_view, [*waiting, workspace])
 
     def _release_waiting(self, workspace: str) -> None:
         """Let operations run that wait for a limit that is gone."""
@@ -220,7 +222,7 @@
             return
         due_at = min(
             (
-                self._due_at(self._offices.by_shard[shard], workspaces)
+                self._due_at(self._shards.by_shard[shard], workspaces)
                 for shard, workspaces in self._waiting_by_shard().items()
             ),
             default=math.inf,
@@ -237,9 +239,9 @@
         self._urgent_timer = None
         now = steady_seconds()
         for shard, workspaces in self._waiting_by_shard().items():
-            office = self._offices.by_shard[shard]
-            if self._due_at(office, workspaces) <= now:
-                self._report(shard, office, workspaces)
+            shard_view = self._shards.by_shard[shard]
+            if self._due_at(shard_view, workspaces) <= now:
+                self._report(shard, shard_view, workspaces)
         if self._urgent_timer is None:
             self._report_urgently(now)
 
@@ -247,45 +249,47 @@
         """Return the workspaces with waiting operations, by shard."""
         by_shard: dict[str, list[str]] = {}
         for workspace, waiting in self._waiting.items():
-            shard = self._offices.shard_of(workspace)
-            if waiting and shard in self._offices.by_shard:
+            shard = self._shards.shard_of(workspace)
+            if waiting and shard in self._shards.by_shard:
                 by_shard.setdefault(shard, []).append(workspace)
         return by_shard
 
-    def _due_at(self, office: Office, workspaces: list[str]) -> float:
+    def _due_at(self, shard_view: ShardView, workspaces: list[str]) -> float:
         """Return when to report for workspaces with waiting operations."""
-        if not office.name:
+        if not shard_view.name:
             return math.inf
-        if office.unmet.keys() >= set(workspaces):
-            return office.reported_at + SCARCE_INTERVAL_S
-        return office.reported_at + URGENT_INTERVAL_S
+        if shard_view.unmet.keys() >= set(workspaces):
+            return shard_view.reported_at + SCARCE_INTERVAL_S
+        return shard_view.reported_at + URGENT_INTERVAL_S
 
     def _report(
-        self, shard: str, office: Office, workspaces: Iterable[str]
+        self, shard: str, shard_view: ShardView, workspaces: Iterable[str]
     ) -> None:
         """Send a report, which is a vote if this proxy may vote now."""
-        if not office.name:
+        if not shard_view.name:
             return
         now = steady_seconds()
         echo, incarnation = 0.0, 0
-        if office.echo is not None and self._offices.may_vote(office, now):
-            echo, incarnation = office.echo
-            office.voted_at = now
-            office.voted_for = office.name
-        office.reported_at = now
+        if shard_view.echo is not None and self._shards.may_vote(
+            shard_view, now
+        ):
+            echo, incarnation = shard_view.echo
+            shard_view.voted_at = now
+            shard_view.voted_for = shard_view.name
+        shard_view.reported_at = now
         wanted = {}
         returned = {}
         for name in workspaces:
-            if self._offices.shard_of(name) == shard:
+            if self._shards.shard_of(name) == shard:
                 balance = self._balances[name]
                 wanted[name] = self._wanted(name, balance, now)
                 returned[name] = take_returned(
-                    balance, (office.name, office.incarnation)
+                    balance, (shard_view.name, shard_view.incarnation)
                 )
-        office.unmet = positive_counts(wanted)
+        shard_view.unmet = positive_counts(wanted)
         self._send_to(
-            office.name,
-            self._address(office.name),
+            shard_view.name,
+            self._address(shard_view.name),
             RateReport(
                 self._own.name,
                 self._own.incarnation,
@@ -315,11 +319,11 @@
 
     def _apply_grant(self, grant: RateGrant) -> None:
         now = steady_seconds()
-        office = self._offices.by_shard.get(grant.shard)
-        if office is not None and office.name == grant.sender:
-            office.apply(grant, now)
+        shard_view = self._shards.by_shard.get(grant.shard)
+        if shard_view is not None and shard_view.name == grant.sender:
+            shard_view.apply(grant, now)
             if grant.released:
-                self._offices.avoid(grant.sender, now)
+                self._shards.avoid(grant.sender, now)
         grantor = (grant.sender, grant.incarnation)
         expires_at = grant.report_sent_at + TOKEN_VALID_S
         for workspace, tokens in grant.tokens.items():
--- a/packages/toucandeald/src/toucandeald/rate_offices.py
+++ b/packages/toucandeald/src/toucandeald/rate_shards.py
@@ -15,13 +15,13 @@
 from toucandeald.rate_wire import RateGrant
 from toucandeald.steady_clock import steady_seconds
 
-__all__ = ['Office', 'RateOffices', 'positive_counts']
+__all__ = ['ShardView', 'RateShards', 'positive_counts']
 
 COORDINATOR_SILENT_S = 0.4  # two reports without an answer
 AVOIDED_S = 3.0  # by then its peers have marked a lost coordinator as silent
 
 
-class Office:
+class ShardView:
     """The coordinator of one shard, as this proxy knows it.
 
     `unmet` is what the last report requested and grants have not brought.
@@ -61,12 +61,12 @@
             self.echo = (grant.sent_at, grant.incarnation)
 
 
-class RateOffices:
-    """The offices by shard, and the rules of this proxy's votes."""
+class RateShards:
+    """The shards by shard, and the rules of this proxy's votes."""
 
     def __init__(self, tables: FleetTables, membership: RateMembership) -> None:
         """Start without shards."""
-        self.by_shard: dict[str, Office] = {}
+        self.by_shard: dict[str, ShardView] = {}
         self._tables = tables
         self._membership = membership
         self._avoided: dict[str, float] = {}
@@ -83,36 +83,36 @@
         if names == list(self.by_shard):
             return
         voted_at = max(
-            (office.voted_at for office in self.by_shard.values()),
+            (shard_view.voted_at for shard_view in self.by_shard.values()),
             default=self._voted_at,
         )
-        self.by_shard = {name: Office(voted_at) for name in names}
+        self.by_shard = {name: ShardView(voted_at) for name in names}
 
-    def choose(self, shard: str, office: Office, now: float) -> None:
+    def choose(self, shard: str, shard_view: ShardView, now: float) -> None:
         """Change the coordinator if another proxy comes first."""
-        heard_at = max(office.answered_at, office.chosen_at)
+        heard_at = max(shard_view.answered_at, shard_view.chosen_at)
         silent = now - heard_at > COORDINATOR_SILENT_S
-        if office.name and silent and office.name != self._tables.name:
-            self.avoid(office.name, now)
+        if shard_view.name and silent and shard_view.name != self._tables.name:
+            self.avoid(shard_view.name, now)
         chosen = next(iter(coordinator_order(shard, self._candidates(now))), '')
-        if chosen != office.name:
+        if chosen != shard_view.name:
             log_event('rate coordinator', shard=shard, name=chosen)
-            office.name = chosen
-            office.chosen_at = now
-            office.reported_at = -math.inf
-            office.echo = None
+            shard_view.name = chosen
+            shard_view.chosen_at = now
+            shard_view.reported_at = -math.inf
+            shard_view.echo = None
 
     def avoid(self, name: str, now: float) -> None:
         """Choose other coordinators than `name` for a while."""
         self._avoided[name] = now + AVOIDED_S
 
-    def may_vote(self, office: Office, now: float) -> bool:
+    def may_vote(self, shard_view: ShardView, now: float) -> bool:
         """Return whether no other vote of this proxy can be valid.
 
         Proxies that do not count this one would divide the limit among fewer.
         """
-        changed = office.voted_for != office.name
-        if changed and now - office.voted_at < VOTE_VALID_S:
+        changed = shard_view.voted_for != shard_view.name
+        if changed and now - shard_view.voted_at < VOTE_VALID_S:
             return False
         return self._membership.is_established
 
