Keep the order of waiting statements instead of making it anew

Cause: the whole queue of a server was put into order to take its first statement, for each connection released or opened, so a decision cost more the longer the queue was. Change: the first statement of a database, of a workspace and of all is found from the kept lists; late heads are passed by with a binary search, and the expected wait counts with binary searches. The decisions are those of the former code, which stays as the reference of a property test. One difference: requests of the proxy's own and statements of the empty workspace, which met in one fair queue, now have one each.

--- a/packages/toucandeal/src/toucandeal/queues.py
+++ b/packages/toucandeal/src/toucandeal/queues.py
@@ -15,6 +15,7 @@
 
 import bisect
 import itertools
+import math
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -22,7 +23,10 @@
     'FairQueue',
     'QueueEntry',
     'add',
+    'Place',
     'count_ahead',
+    'first_after',
+    'first_entry',
     'in_service_order',
     'remove',
 ]
@@ -36,6 +40,13 @@
     identity: int
 
 
+class Place(NamedTuple):
+    """A queued request, and the number of requests served before it."""
+
+    ahead: int
+    entry: QueueEntry
+
+
 class FairQueue:
     """The queued requests and the virtual time of each caller."""
 
@@ -75,7 +86,7 @@
 ) -> None:
     """Remove a request; `cost` is 1 if it was served and 0 otherwise."""
     entries = queue.waiting[caller]
-    entries.remove(entry)
+    del entries[bisect.bisect_left(entries, entry)]
     queue.virtual_time = max(queue.virtual_time, queue.virtual_times[caller])
     queue.virtual_times[caller] += cost
     if not entries:
@@ -126,3 +137,57 @@
         if name != caller
     )
     return own + sum(itertools.chain(others, (0,)))
+
+
+def first_entry(queue: FairQueue) -> QueueEntry:
+    """Return the request that is served next; the queue must not be empty.
+
+    Examples
+    --------
+    >>> queue = FairQueue()
+    >>> add(queue, 'b', QueueEntry(0, 5.0, 1))
+    >>> add(queue, 'a', QueueEntry(0, 9.0, 2))
+    >>> first_entry(queue).identity
+    2
+    """
+    _, caller = min((queue.virtual_times[name], name) for name in queue.waiting)
+    return queue.waiting[caller][0]
+
+
+def first_after(queue: FairQueue, time: float) -> Place | None:
+    """Return the first request in service order with a later deadline.
+
+    All requests must have the same cost rank, 0. The work grows with the
+    number of callers, and with the logarithm of their requests.
+
+    Examples
+    --------
+    >>> queue = FairQueue()
+    >>> for number in range(4):
+    ...     add(queue, 'a', QueueEntry(0, float(number), number))
+    >>> add(queue, 'b', QueueEntry(0, 1.0, 9))
+    >>> first_after(queue, 1.5)
+    Place(ahead=3, entry=QueueEntry(cost_rank=0, deadline_at=2.0, identity=2))
+    >>> first_after(queue, 3.0) is None
+    True
+    """
+    earlier = QueueEntry(0, time, math.inf)
+    candidates = (
+        (queue.virtual_times[name] + index, name, entries[index])
+        for name, entries in queue.waiting.items()
+        if (index := bisect.bisect(entries, earlier)) < len(entries)
+    )
+    first = min(candidates, default=None)
+    if first is None:
+        return None
+    return Place(_served_before(queue, first[0], first[1]), first[2])
+
+
+def _served_before(queue: FairQueue, start: float, caller: str) -> int:
+    """Return how many requests precede that of a caller's virtual time."""
+    before = 0
+    for name, entries in queue.waiting.items():
+        lead = start - queue.virtual_times[name]
+        count = math.floor(lead) + 1 if name < caller else math.ceil(lead)
+        before += min(max(count, 0), len(entries))
+    return before
--- a/packages/toucandeal/src/toucandeal/statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/statement_queue.py
@@ -14,15 +14,19 @@
   refused at once, with a time after which to retry.
 """
 
+import bisect
 import collections
-from collections.abc import Iterator
+import math
+from collections.abc import Iterator, Set
 from typing import NamedTuple
 
 from toucandeal.queues import (
     FairQueue,
+    Place,
     QueueEntry,
     add,
-    in_service_order,
+    first_after,
+    first_entry,
     remove,
 )
 
@@ -38,7 +42,6 @@
     'leave',
     'next_statement',
     'service_lead',
-    'service_order',
     'waiting_statement',
 ]
 
@@ -111,10 +114,10 @@
     level = queue.by_priority.setdefault(
         connection_request.priority, _WorkspaceQueue()
     )
-    workspace = connection_request.workspace or ''
+    name = _queue_name(connection_request.workspace)
     entry = _queue_entry(statement)
-    add(level.workspaces, workspace, entry)
-    databases = level.databases.setdefault(workspace, FairQueue())
+    add(level.workspaces, name, entry)
+    databases = level.databases.setdefault(name, FairQueue())
     add(databases, connection_request.database, entry)
 
 
@@ -128,14 +131,14 @@
     if not queue.counts[connection_request.workspace]:
         del queue.counts[connection_request.workspace]
     level = queue.by_priority[connection_request.priority]
-    workspace = connection_request.workspace or ''
+    name = _queue_name(connection_request.workspace)
     entry = _queue_entry(statement)
     cost = 1 if served else 0
-    remove(level.workspaces, workspace, entry, cost)
-    databases = level.databases[workspace]
+    remove(level.workspaces, name, entry, cost)
+    databases = level.databases[name]
     remove(databases, connection_request.database, entry, cost)
-    if not databases:
-        del level.databases[workspace]
+    if not databases.waiting:
+        del level.databases[name]
 
 
 def _queue_entry(statement: WaitingStatement) -> QueueEntry:
@@ -144,15 +147,22 @@
     )
 
 
-def service_order(queue: StatementQueue) -> Iterator[WaitingStatement]:
-    """Yield the statements in order of service, the late ones not last."""
+def _queue_name(workspace: str | None) -> str:
+    """Return a workspace's name in a fair queue; names there are strings."""
+    return '' if workspace is None else f'={workspace}'
+
+
+def _levels(queue: StatementQueue) -> Iterator[_WorkspaceQueue]:
+    """Yield the waiting statements of each priority, the highest first."""
     for _, level in sorted(queue.by_priority.items()):
-        databases = {
-            workspace: in_service_order(fair_queue)
-            for workspace, fair_queue in level.databases.items()
-        }
-        for workspace, _ in in_service_order(level.workspaces):
-            yield queue.waiting[next(databases[workspace])[1]]
+        if level.databases:
+            yield level
+
+
+def _next_names(level: _WorkspaceQueue) -> list[str]:
+    """Return the names of the workspaces in the order of their next turns."""
+    virtual_times = level.workspaces.virtual_times
+    return sorted(level.databases, key=lambda name: (virtual_times[name], name))
 
 
 def first_of_workspaces(queue: StatementQueue) -> list[ConnectionRequest]:
@@ -167,11 +177,15 @@
     >>> [first.workspace for first in first_of_workspaces(queue)]
     ['a', 'b']
     """
-    first: dict[str | None, ConnectionRequest] = {}
-    for statement in service_order(queue):
-        connection_request = statement.connection_request
-        first.setdefault(connection_request.workspace, connection_request)
-    return list(first.values())
+    first: dict[str, QueueEntry] = {}
+    for level in _levels(queue):
+        for name in _next_names(level):
+            if name not in first:
+                first[name] = first_entry(level.databases[name])
+    return [
+        queue.waiting[entry.identity].connection_request
+        for entry in first.values()
+    ]
 
 
 def waiting_statement(
@@ -216,21 +230,44 @@
     >>> next_statement(queue, 2.0).identity, next_statement(queue, 4.0).identity
     (1, 2)
     """
-    served = {workspace, None}
-    ordered = (
-        statement
-        for statement in service_order(queue)
-        if workspace is None or statement.connection_request.workspace in served
-    )
-    first = next(ordered, None)
-    if first is None or first.connection_request.late_at > now:
-        return first
-    in_time = (
-        statement
-        for statement in ordered
-        if statement.connection_request.late_at > now
+    usable = None
+    if workspace is not None:
+        usable = {_queue_name(workspace), _queue_name(None)}
+    first = next(
+        (
+            first_entry(level.databases[name])
+            for level in _levels(queue)
+            for name in _next_names(level)
+            if usable is None or name in usable
+        ),
+        None,
     )
-    return next(in_time, first)
+    if first is None:
+        return None
+    if first.deadline_at <= now:
+        first = next(_first_in_time(queue, now, usable), first)
+    return queue.waiting[first.identity]
+
+
+def _first_in_time(
+    queue: StatementQueue, now: float, usable: Set[str] | None
+) -> Iterator[QueueEntry]:
+    """Yield the first statement of each priority that is not late."""
+    for level in _levels(queue):
+        virtual_times = level.workspaces.virtual_times
+        places: Iterator[tuple[str, Place | None]] = (
+            (name, first_after(databases, now))
+            for name, databases in level.databases.items()
+            if usable is None or name in usable
+        )
+        turns = (
+            (virtual_times[name] + place.ahead, name, place.entry)
+            for name, place in places
+            if place is not None
+        )
+        turn = min(turns, default=None)
+        if turn is not None:
+            yield turn[2]
 
 
 def service_lead(
@@ -255,7 +292,8 @@
     if level is None:
         return 0
     virtual_times = level.workspaces.virtual_times
-    return virtual_times.get(workspace, 0) - virtual_times.get(other, 0)
+    own_time = virtual_times.get(_queue_name(workspace), 0)
+    return own_time - virtual_times.get(_queue_name(other), 0)
 
 
 class ServiceRate(NamedTuple):
@@ -310,15 +348,20 @@
     Of the same priority, fair queueing serves at most one more of another
     workspace than of the statement's own.
     """
-    place = (connection_request.priority, connection_request.late_at)
-    urgent = 0
-    ahead: collections.Counter[str | None] = collections.Counter()
-    for statement in queue.waiting.values():
-        other = statement.connection_request
-        if (other.priority, other.late_at) <= place:
-            urgent += other.priority < connection_request.priority
-            ahead[other.workspace] += other.priority == place[0]
-    own = ahead.pop(connection_request.workspace, 0)
+    urgent = sum(
+        len(level.workspaces)
+        for priority, level in queue.by_priority.items()
+        if priority < connection_request.priority
+    )
+    level = queue.by_priority.get(connection_request.priority)
+    if level is None:
+        return urgent
+    last = QueueEntry(0, connection_request.late_at, math.inf)
+    ahead = {
+        name: bisect.bisect(entries, last)
+        for name, entries in level.workspaces.waiting.items()
+    }
+    own = ahead.pop(_queue_name(connection_request.workspace), 0)
     return urgent + own + sum(min(count, own + 1) for count in ahead.values())
 
 
--- a/packages/toucandeal/src/toucandeal/tests/test_statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_statement_queue.py
@@ -10,10 +10,12 @@
     WaitingStatement,
     enter,
     expected_wait_s,
+    first_of_workspaces,
     is_worth_waiting,
     leave,
     next_statement,
 )
+from toucandeal.tests import plain_statement_order
 
 SERVICE = ServiceRate(2, 0.02)
 
@@ -155,3 +157,43 @@
     request = ConnectionRequest(1, 'd', 1.5, 1.9, 'quiet')
     assert is_worth_waiting(queue, request, SERVICE, 1.0)
     assert expected_wait_s(queue, request, SERVICE, 1.0) == 0.02
+
+
+WORKSPACES = ('', 'a', 'b', None)
+REQUESTS = st.builds(
+    ConnectionRequest,
+    priority=st.integers(0, 2),
+    database=st.sampled_from('xyz'),
+    late_at=st.integers(0, 10).map(float),
+    ends_at=st.just(20.0),
+    workspace=st.sampled_from(WORKSPACES),
+)
+CHANGES = st.one_of(
+    REQUESTS,
+    st.tuples(st.integers(0, 50), st.booleans()),
+)
+
+
+@given(st.lists(CHANGES, max_size=40), st.integers(0, 10), REQUESTS)
+def test_the_kept_order_is_that_of_all_statements(changes, now, arriving):
+    # Guards against a decision that differs from the order of all statements.
+    queue = StatementQueue()
+    for identity, change in enumerate(changes):
+        if isinstance(change, ConnectionRequest):
+            enter(queue, WaitingStatement(change, identity))
+        elif queue:
+            place, served = change
+            waiting = list(plain_statement_order.service_order(queue))
+            leave(queue, waiting[place % len(waiting)], served=served)
+        for workspace in WORKSPACES:
+            assert next_statement(
+                queue, now, workspace
+            ) == plain_statement_order.next_statement(queue, now, workspace)
+        assert first_of_workspaces(
+            queue
+        ) == plain_statement_order.first_of_workspaces(queue)
+    ahead = plain_statement_order.count_ahead(queue, arriving)
+    service = ServiceRate(1, 1.0)
+    in_time = now + ahead + 1 < arriving.late_at
+    expected = ahead + 1 if in_time else len(queue) + 1
+    assert expected_wait_s(queue, arriving, service, now) == expected
