Let statements wait for a promotion or the first lease

Cause: callers that are refused come back at once, whatever delay they are told, and have two retries; so a promotion of a second, or the moment in which a restarted proxy has no lease or configuration, lost each of their operations. Change: placement says how long a statement may wait for a server: until its time-out while a promotion is under way or the primary is silent, which holds for all proxies; for its objective without a lease; not at all at a proxy that has lost its lease for 0.6 s, or for a server that is only full, since other proxies serve. Statements of callers that have left are not sent.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/callers.py
@@ -123,8 +123,10 @@
         deployment: Deployment,
         generator: random.Random,
         choose_proxy: Callable[[], object],
+        retry_delay_ms: float | None = None,
     ) -> None:
         """Store the function that chooses a proxy for each attempt."""
+        self._retry_delay_ms = retry_delay_ms
         self.operations: list[Operation] = []
         self.work_s: dict[str, float] = {}
         self._clock = clock
@@ -155,6 +157,8 @@
     def _retry_delay_s(self, reply: CallerReply | None) -> float:
         retry_after_s = 0 if reply is None else reply.retry_after_s
         spread = 1 + RETRY_JITTER * self._generator.random()
+        if self._retry_delay_ms is not None:
+            return self._retry_delay_ms / MS_PER_S * spread
         return (retry_after_s or DEFAULT_BACKOFF_S) * spread
 
     def _record_operation(
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/patterns.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/patterns.py
@@ -123,7 +123,8 @@
     `wave_s` seconds. `domain_swing` is that of the callers of each failure
     domain, at a different time in each, with a period of `domain_swing_s`.
     Without `crossing_cost_ms` a constant factor decides which reads leave
-    their domain.
+    their domain. With `retry_delay_ms`, callers come back after that time
+    instead of the one that they are told.
     """
 
     name: str
@@ -135,6 +136,7 @@
     domain_swing: float = 0
     domain_swing_s: float = 13
     crossing_cost_ms: float | None = None
+    retry_delay_ms: float | None = None
     events: list[Event] = []
 
 
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -120,6 +120,7 @@
             clock, tables, self.pools, confirmations, environment.generator
         )
         self.service = SessionService(
+            clock,
             tables,
             forwarding,
             Admission(tables, forwarding.transactions, None),
--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/simulation.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/simulation.py
@@ -86,7 +86,11 @@
         self.proxies: list[ModelProxy] = []
         self.avoided_domains: set[str] = set()
         self.callers = Callers(
-            self.clock, self.deployment, self.generator, self._choose_proxy
+            self.clock,
+            self.deployment,
+            self.generator,
+            self._choose_proxy,
+            pattern.retry_delay_ms,
         )
 
     def start_proxies(self) -> None:
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_load_model.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_load_model.py
@@ -73,6 +73,17 @@
     assert _all(result).earned >= 0.95
 
 
+def test_callers_that_return_at_once_outlast_a_promotion():
+    # Guards against operations that are refused to the end because all
+    # retries of their callers fall into one promotion.
+    results = [
+        _all(simulate(load_pattern('hasty_promotion'), seed))
+        for seed in (1, 2, 3)
+    ]
+    asked = sum(result.asked for result in results)
+    assert sum(result.refused for result in results) <= 0.001 * asked
+
+
 def test_all_callers_return_after_a_loss_of_all_proxies():
     # The proxies are down for 1.1 s; all callers have to be served from the
     # first 2 s window after that.
--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -93,7 +93,8 @@
 
     `key_digest` identifies the key that the caller gave, and `workspace` is
     the workspace that holds it; both are empty without workspaces. `ran` is
-    whether a server may have run the operation in progress.
+    whether a server may have run the operation in progress, and `ended`
+    whether the caller has left.
     """
 
     def __init__(
@@ -114,6 +115,7 @@
         self.transaction: OpenTransaction | None = None
         self.busy = False
         self.ran = False
+        self.ended = False
 
     @property
     def state(self) -> str:
--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -4,8 +4,16 @@
 with the least expected wait among those that may be fresh enough. The required
 position is sent with the read, so a replica that lags behind it refuses the
 read instead of answering with stale data.
+
+A statement that no server can run now may wait for one. Addresses this load
+pattern: a promotion, or the restart of all proxies, lasts longer than all
+retries of a caller that is refused at once, so each operation of that time
+would be lost. It waits where every proxy lacks the server, and is refused at
+once where another proxy may have it.
 """
 
+import enum
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -17,20 +25,23 @@
     server_load,
     usable_primary,
 )
-from toucandeal.membership import rendezvous_order
 from toucandeal.positions import NOTHING_SEEN, LogPosition
+from toucandeal.primary_lease import lease_expires_at
 from toucandeal.read_crossing import (
     PRIMARY_COST_FACTOR,
     ReadCosts,
     choose_server,
 )
+from toucandeal.rendezvous import rendezvous_order
 from toucandeal.staleness import required_sample
 
 __all__ = [
     'Placement',
     'Refusal',
+    'Wait',
     'place_read',
     'place_write',
+    'useful_wait_s',
 ]
 
 FRESHNESS_MARGIN_S = 0.15  # network transit of a read and of the sample
@@ -40,6 +51,8 @@
 OPENING_COST_S = 0.012
 PROMOTION_RETRY_S = 0.6  # usual duration of a promotion
 UNAVAILABLE_RETRY_S = 0.1
+# Several renewals; a proxy without a lease for longer may be cut off.
+LEASE_GAP_S = 0.6
 
 
 class Placement(NamedTuple):
@@ -65,12 +78,39 @@
     sampled_at: float
 
 
+class Wait(enum.Enum):
+    """How long a statement may wait for a server that can run it."""
+
+    NONE = 'none'  # another proxy may have one, or there will be none in time
+    OBJECTIVE = 'objective'  # while the answer can still be in time
+    TIMEOUT = 'timeout'  # while the answer is of use: no proxy has one now
+
+
 class Refusal(NamedTuple):
     """No server can run the statement now; `busy` for lack of capacity."""
 
     reason: str
     retry_after_s: float
     busy: bool = False
+    wait: Wait = Wait.NONE
+
+
+def useful_wait_s(refusal: Refusal, route: Route) -> float:
+    """Return how long after its start a statement may wait for a server.
+
+    Examples
+    --------
+    >>> route = Route('d', 'g', RouteKind.PRIMARY, 0.8, 0.1, 1, 0.0)
+    >>> useful_wait_s(Refusal('', 0.1, wait=Wait.OBJECTIVE), route)
+    0.1
+    >>> useful_wait_s(Refusal('', 0.1), route)
+    0.0
+    """
+    if refusal.wait is Wait.NONE:
+        return 0.0
+    if refusal.wait is Wait.OBJECTIVE:
+        return min(route.latency_objective_s, route.timeout_s)
+    return route.timeout_s
 
 
 def place_write(
@@ -80,16 +120,42 @@
     primary = usable_primary(tables, route.group, now)
     group = group_state(tables, route.group)
     if primary is None:
-        return _refuse_without_primary(group)
-    if now < server_load(tables, primary.name).avoided_until:
-        return Refusal('the primary gives no answer', UNAVAILABLE_RETRY_S)
+        return _refuse_without_primary(tables, group, now)
+    load = server_load(tables, primary.name)
+    if now < load.avoided_until:
+        # A server that only lacks connections serves those of other proxies.
+        is_silent = load.unreachable_since is not None
+        return Refusal(
+            'the primary gives no answer',
+            UNAVAILABLE_RETRY_S,
+            wait=Wait.TIMEOUT if is_silent else Wait.NONE,
+        )
     return Placement(primary, None, True, group.epoch, 'needs the primary')
 
 
-def _refuse_without_primary(group) -> Refusal:
+def _refuse_without_primary(tables: FleetTables, group, now: float) -> Refusal:
     if group.record is not None and group.record.changing:
-        return Refusal('a promotion is under way', PROMOTION_RETRY_S)
-    return Refusal('no primary is surely current', UNAVAILABLE_RETRY_S)
+        return Refusal(
+            'a promotion is under way', PROMOTION_RETRY_S, wait=Wait.TIMEOUT
+        )
+    return Refusal(
+        'no primary is surely current',
+        UNAVAILABLE_RETRY_S,
+        wait=_wait_for_lease(tables, now),
+    )
+
+
+def _wait_for_lease(tables: FleetTables, now: float) -> Wait:
+    """Return how long to wait for a lease on the primaries.
+
+    A proxy that has just started gets one in a moment. One that has lost its
+    lease for longer may be cut off, while other proxies serve.
+    """
+    expires_at = lease_expires_at(tables.primary_lease, now)
+    has_started = not math.isinf(expires_at)
+    if has_started and now - expires_at >= LEASE_GAP_S:
+        return Wait.NONE
+    return Wait.OBJECTIVE
 
 
 def place_read(
@@ -128,7 +194,9 @@
         and _is_eligible(tables, server, primary, requirement, now)
     }
     if not costs:
-        return _refuse_without_primary(group)
+        if primary is None:
+            return _refuse_without_primary(tables, group, now)
+        return Refusal('no server gives an answer', UNAVAILABLE_RETRY_S)
     if workspace and tables.configuration.workspaces:
         costs = _with_affinity(costs, primary, workspace)
     choice = choose_server(
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -4,14 +4,16 @@
 
 from toucandeal.fleet import GroupRecord, RouteKind
 from toucandeal.fleet_tables import apply_record, record_position, server_load
-from toucandeal.rendezvous import rendezvous_order
 from toucandeal.placement import (
     Placement,
     Refusal,
+    Wait,
     place_read,
     place_write,
 )
 from toucandeal.positions import NOTHING_SEEN, LogPosition
+from toucandeal.primary_lease import LEASE_DURATION_S, PrimaryLease
+from toucandeal.rendezvous import rendezvous_order
 from toucandeal.store_versions import StoreVersion
 from toucandeal.tests.sample_tables import (
     NOW,
@@ -211,3 +213,49 @@
     server_load(tables, first).avoided_until = NOW + 1
     assert _read(tables, workspace='w').server.name == second
     assert _read(tables, tried=frozenset((second,)), workspace='w').on_primary
+
+
+def _changing(tables):
+    record = GroupRecord('g', 'a', 3, changing=True, version=StoreVersion(0, 2))
+    apply_record(tables, record)
+
+
+@pytest.mark.parametrize(
+    'kind', [RouteKind.PRIMARY, RouteKind.READ_YOUR_WRITES]
+)
+def test_statements_wait_while_a_promotion_is_under_way(kind):
+    # Guards against callers whose retries end before the promotion does.
+    tables = new_tables()
+    _changing(tables)
+    refusal = place_read(tables, new_route(kind), NOTHING_SEEN, NOW, NONE)
+    assert refusal.wait is Wait.TIMEOUT
+    assert place_write(tables, new_route(), NOW).wait is Wait.TIMEOUT
+
+
+def test_statements_wait_for_the_first_lease_of_a_restarted_proxy():
+    tables = new_tables()
+    tables.primary_lease = PrimaryLease('p1')
+    assert place_write(tables, new_route(), NOW).wait is Wait.OBJECTIVE
+
+
+@pytest.mark.parametrize(
+    ('without_lease_s', 'wait'), [(0.2, Wait.OBJECTIVE), (2.0, Wait.NONE)]
+)
+def test_a_proxy_that_is_cut_off_refuses_at_once(without_lease_s, wait):
+    # Other proxies serve the callers that come back to them.
+    tables = new_tables()
+    expired_at = NOW + LEASE_DURATION_S
+    refusal = place_write(tables, new_route(), expired_at + without_lease_s)
+    assert refusal.wait is wait
+
+
+@pytest.mark.parametrize(
+    ('unreachable_since', 'wait'), [(NOW, Wait.TIMEOUT), (None, Wait.NONE)]
+)
+def test_only_a_silent_primary_is_waited_for(unreachable_since, wait):
+    # A primary that accepts no more connections serves other proxies.
+    tables = new_tables()
+    load = server_load(tables, 'a')
+    load.avoided_until = NOW + 0.25
+    load.unreachable_since = unreachable_since
+    assert place_write(tables, new_route(), NOW).wait is wait
--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -1,5 +1,7 @@
 """Runs callers' transactions, each on one connection to one server."""
 
+import functools
+
 from toucandeal.caller_sessions import CallerSession, OpenTransaction
 from toucandeal.fleet import Verb
 from toucandeal.placement import Placement, Refusal, place_read, place_write
@@ -8,6 +10,10 @@
 from toucandeald.background_tasks import log_failure
 from toucandeald.forwarding_context import ForwardingContext
 from toucandeald.logs import log_event
+from toucandeald.placement_waits import (
+    may_repeat,
+    wait_for_placement,
+)
 from toucandeald.replies import (
     DEFAULT_RETRY_AFTER_S,
     NO_EFFECT,
@@ -91,18 +97,10 @@
         tried: frozenset[str] = frozenset()
         refusal = refusal_for(withheld('no server has begun it'))
         for _ in range(MAX_BEGIN_ATTEMPTS):
-            now = steady_seconds()
-            placement = (
-                place_read(
-                    self._context.tables,
-                    call.route,
-                    call.session.seen,
-                    now,
-                    tried,
-                    call.session.workspace,
-                )
-                if transaction.read_only
-                else place_write(self._context.tables, call.route, now)
+            placement = await wait_for_placement(
+                self._context,
+                call,
+                functools.partial(self._place, call, transaction, tried),
             )
             if isinstance(placement, Refusal):
                 refusal = placement
@@ -114,14 +112,31 @@
                     count_served(self._context.tables, placement.server)
                 return None
             refusal = refusal_for(answer)
-            elapsed_s = steady_seconds() - call.began_at
-            if elapsed_s > call.retry_window_s or not holds_workspace(
-                self._context.tables, call.session
-            ):
+            if answer.kind is AnswerKind.WITHHELD:
+                tried = frozenset()
+            if not may_repeat(self._context, call, answer):
                 break
         self.fail(call.session, refusal.reason)
         return refused(call.session, refusal)
 
+    def _place(
+        self,
+        call: StatementCall,
+        transaction: OpenTransaction,
+        tried: frozenset[str],
+    ) -> Placement | Refusal:
+        now = steady_seconds()
+        if not transaction.read_only:
+            return place_write(self._context.tables, call.route, now)
+        return place_read(
+            self._context.tables,
+            call.route,
+            call.session.seen,
+            now,
+            tried,
+            call.session.workspace,
+        )
+
     async def _begin_at(
         self,
         call: StatementCall,
@@ -153,6 +168,9 @@
         if not holds_workspace(self._context.tables, call.session):
             self._context.pools.release(placement.server, connection)
             return withheld(KEY_CHANGED)
+        if call.session.ended:
+            self._context.pools.release(placement.server, connection)
+            return withheld('the caller has left')
         answer = await self._context.pools.call(
             placement.server,
             connection,
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -129,6 +129,7 @@
     gossip.on_lender_message = borrowing.received
     forwarding = _new_forwarding(reactor, tables, pools)
     service = SessionService(
+        reactor,
         tables,
         forwarding,
         Admission(tables, forwarding.transactions, settings.revocation_limit_s),
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/placement_waits.py
@@ -0,0 +1,68 @@
+"""Waits of statements for a server that can run them."""
+
+from collections.abc import Callable
+
+from toucandeal.placement import Placement, Refusal, useful_wait_s
+from toucandeald.admission import holds_workspace
+from toucandeald.forwarding_context import ForwardingContext
+from toucandeald.session_messages import AnswerKind, ServerAnswer
+from toucandeald.statement_calls import StatementCall
+from toucandeald.steady_clock import pause, steady_seconds
+
+__all__ = ['may_repeat', 'wait_for_placement']
+
+CHECK_INTERVAL_S = 0.03
+
+
+async def wait_for_placement(
+    context: ForwardingContext,
+    call: StatementCall,
+    place: Callable[[], Placement | Refusal],
+) -> Placement | Refusal:
+    """Return the placement of a statement as soon as there is one.
+
+    Parameters
+    ----------
+    context : ForwardingContext
+    call : StatementCall
+    place : callable
+        Returns the placement at the present time, or a refusal.
+
+    Returns
+    -------
+    Placement or Refusal
+        The last refusal if no server could run the statement while waiting
+        for one was of use.
+    """
+    while True:
+        placement = place()
+        if isinstance(placement, Placement) or not _may_wait(
+            context, call, placement
+        ):
+            return placement
+        await pause(context.clock, CHECK_INTERVAL_S)
+
+
+def _may_wait(
+    context: ForwardingContext, call: StatementCall, refusal: Refusal
+) -> bool:
+    waited_s = steady_seconds() + CHECK_INTERVAL_S - call.began_at
+    return (
+        waited_s < useful_wait_s(refusal, call.route)
+        and not call.session.ended
+        and holds_workspace(context.tables, call.session)
+    )
+
+
+def may_repeat(
+    context: ForwardingContext, call: StatementCall, answer: ServerAnswer
+) -> bool:
+    """Return whether an attempt without effect is followed by another one."""
+    window_s = call.retry_window_s
+    if answer.kind is AnswerKind.WITHHELD:
+        window_s = call.route.timeout_s
+    return (
+        steady_seconds() - call.began_at <= window_s
+        and not call.session.ended
+        and holds_workspace(context.tables, call.session)
+    )
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -22,12 +22,16 @@
 from toucandeald.rate_admission import RateAdmission
 from toucandeald.replies import DEFAULT_RETRY_AFTER_S, reply, unknown_database
 from toucandeald.session_messages import CallerReply, ReplyKind
-from toucandeald.steady_clock import steady_seconds
+from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = ['SessionService']
 
 BEGIN_STATEMENTS = {Verb.BEGIN, Verb.BEGIN_READ}
 LOCAL_STATEMENTS = {Verb.SET, Verb.PREPARE, Verb.DEALLOCATE}
+# For the first configuration. The store may turn only this proxy away, so a
+# caller has to have time left to be served by another one.
+START_WAIT_S = 0.4
+START_CHECK_INTERVAL_S = 0.03
 
 
 class SessionService:
@@ -35,12 +39,14 @@
 
     def __init__(
         self,
+        clock,
         tables: FleetTables,
         forwarding: Forwarding,
         admission: Admission,
         metrics: PrometheusMetrics,
     ) -> None:
         """Initialize the service without sessions."""
+        self._clock = clock
         self.connections: set = set()
         self.sessions: dict[int, CallerSession] = {}
         self.closing_idle = False
@@ -61,6 +67,7 @@
         if session is None:
             return
         self.sessions.pop(session.identity, None)
+        session.ended = True
         if session.transaction is not None and not session.busy:
             self._forwarding.transactions.end(session, 'the caller has left')
 
@@ -92,6 +99,16 @@
             if connection.idle and _is_outside_transaction(connection.session):
                 connection.close()
 
+    async def wait_until_configured(self) -> None:
+        """Wait for the first configuration, for a limited time.
+
+        After a loss of all proxies no other one has a configuration either,
+        and callers that are refused at once have soon used up their retries.
+        """
+        ends_at = steady_seconds() + START_WAIT_S
+        while self._tables.configuration is None and steady_seconds() < ends_at:
+            await pause(self._clock, START_CHECK_INTERVAL_S)
+
     def open(self, database: str, key: str) -> CallerSession | CallerReply:
         """Open a session, or return the reply that refuses it."""
         configuration = self._tables.configuration
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -1,10 +1,16 @@
 """Runs statements outside transactions, and retries them where that is safe."""
 
+import functools
+
 from toucandeal.placement import Placement, Refusal, place_read, place_write
 from toucandeal.read_crossing import count_served
 from toucandeald.admission import KEY_CHANGED, holds_workspace
 from toucandeald.forwarding_context import ForwardingContext
 from toucandeald.logs import log_event
+from toucandeald.placement_waits import (
+    may_repeat,
+    wait_for_placement,
+)
 from toucandeald.replies import (
     DEFAULT_RETRY_AFTER_S,
     NO_EFFECT,
@@ -95,15 +101,26 @@
         Untried servers come first. Once all have been tried, another round
         starts after `ROUND_PAUSE_S`, or at once if the last answer was lost.
         """
+        if answer is None:
+            return await self._wait_for_server(call)
         placement = self._place_read(call, tried)
-        if answer is None or _is_untried(placement, tried):
+        if _is_untried(placement, tried):
             return placement
         if answer.kind is AnswerKind.LOST:
             return self._place_read(call, frozenset())
         if not _is_worth_another_round(call, answer):
             return Refusal(answer.reason, DEFAULT_RETRY_AFTER_S)
         await pause(self._context.clock, ROUND_PAUSE_S)
-        return self._place_read(call, frozenset())
+        return await self._wait_for_server(call)
+
+    async def _wait_for_server(
+        self, call: StatementCall
+    ) -> Placement | Refusal:
+        return await wait_for_placement(
+            self._context,
+            call,
+            functools.partial(self._place_read, call, frozenset()),
+        )
 
     def _place_read(
         self, call: StatementCall, tried: frozenset[str]
@@ -121,8 +138,11 @@
         """Run a write, and retry it only if the attempt had no effect."""
         answer = withheld('no server can run it now')
         for _ in range(MAX_WRITE_ATTEMPTS):
-            now = steady_seconds()
-            placement = place_write(self._context.tables, call.route, now)
+            placement = await wait_for_placement(
+                self._context,
+                call,
+                functools.partial(self._place_write, call),
+            )
             if isinstance(placement, Refusal):
                 return refused(call.session, placement)
             with self._context.primary_work.track(placement):
@@ -131,11 +151,13 @@
                 )
                 if answer.kind not in NO_EFFECT:
                     return await self._reply_to_write(call, placement, answer)
-            elapsed_s = steady_seconds() - call.began_at
-            if elapsed_s > call.retry_window_s or not self._is_admitted(call):
+            if not may_repeat(self._context, call, answer):
                 break
         return refused(call.session, refusal_for(answer))
 
+    def _place_write(self, call: StatementCall) -> Placement | Refusal:
+        return place_write(self._context.tables, call.route, steady_seconds())
+
     def _is_admitted(self, call: StatementCall) -> bool:
         return holds_workspace(self._context.tables, call.session)
 
@@ -197,6 +219,9 @@
         request = Forward(
             call.identity, call.statement, call.prepared, placement.after
         )
+        if call.session.ended:
+            self._context.pools.release(server, connection)
+            return withheld('the caller has left')
         answer = await self._context.pools.call(
             server, connection, request, timeout_s
         )
@@ -225,6 +250,8 @@
     advanced, and a primary may have been confirmed.
     """
     elapsed_s = steady_seconds() - call.began_at
+    if answer.kind is AnswerKind.WITHHELD:
+        return elapsed_s < call.route.timeout_s
     return (
         answer.kind in TRANSIENT and elapsed_s < call.route.latency_objective_s
     )
--- a/packages/toucandeald/src/toucandeald/tests/test_admission.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_admission.py
@@ -89,7 +89,11 @@
         self.transactions = self.forwarding.transactions
         self.admission = Admission(self.tables, self.transactions, limit_s)
         self.service = SessionService(
-            self.tables, self.forwarding, self.admission, PrometheusMetrics()
+            self.clock,
+            self.tables,
+            self.forwarding,
+            self.admission,
+            PrometheusMetrics(),
         )
 
     def configure(self, version, keys):
--- a/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
@@ -1,5 +1,6 @@
-"""Statements that wait for a connection while their key is removed or moved."""
+"""Statements that wait for a connection, or for a server that can run them."""
 
+import itertools
 import random
 
 import pytest
@@ -66,6 +67,16 @@
     )
 
 
+def _tables():
+    tables = FleetTables('p1', 'd')
+    tables.configuration = _configuration({'k': 'north'})
+    tables.servers['r1'] = Server('r1', 'g', 'r1:1', 'd', 1, False, True)
+    apply_record(tables, GroupRecord('g', 'r1', version=StoreVersion(1, 1)))
+    own = ProxyRecord('p1', 1, 'p1:1')
+    record_store_read(tables.primary_lease, 0.0, {'p1': own})
+    return tables
+
+
 @pytest.mark.parametrize('in_transaction', [True, False])
 @pytest.mark.parametrize(
     ('keys', 'sent'), [({'k': 'north'}, 1), ({'k': 'south'}, 0), ({}, 0)]
@@ -74,12 +85,7 @@
     keys, sent, in_transaction
 ):
     clock = Clock()
-    tables = FleetTables('p1', 'd')
-    tables.configuration = _configuration({'k': 'north'})
-    tables.servers['r1'] = Server('r1', 'g', 'r1:1', 'd', 1, False, True)
-    apply_record(tables, GroupRecord('g', 'r1', version=StoreVersion(1, 1)))
-    own = ProxyRecord('p1', 1, 'p1:1')
-    record_store_read(tables.primary_lease, 0.0, {'p1': own})
+    tables = _tables()
     pools = Pools()
     session = CallerSession(1, 'db', key_digest('k'), 'north')
     if in_transaction:
@@ -100,3 +106,71 @@
         assert pools.released == ['connection']
         assert replies[0].kind is ReplyKind.REFUSED
         assert 'nothing has run' in replies[0].reason
+
+
+class Promotion:
+    """A statement that arrives while a promotion is under way."""
+
+    def __init__(self, *, in_transaction):
+        self.clock = Clock()
+        self.tables = _tables()
+        self.pools = Pools()
+        self.replies = []
+        self.session = CallerSession(1, 'db', key_digest('k'), 'north')
+        if in_transaction:
+            self.session.transaction = OpenTransaction(
+                ROUTE, read_only=False, began_at=0.0
+            )
+        self._record(StoreVersion(1, 2), changing=True)
+        forwarding = Forwarding(
+            self.clock, self.tables, self.pools, None, random.Random(1)
+        )
+        with virtual_time(self.clock.seconds):
+            defer.ensureDeferred(
+                forwarding.forward(self.session, 'x', WRITE, 0.0)
+            ).addCallback(self.replies.append)
+
+    def advance(self, seconds):
+        """Let time pass in steps of 10 ms."""
+        with virtual_time(self.clock.seconds):
+            self.clock.pump(itertools.repeat(0.01, round(seconds / 0.01)))
+
+    def end(self):
+        """Record the new primary."""
+        self._record(StoreVersion(1, 3), changing=False)
+
+    def _record(self, version, *, changing):
+        record = GroupRecord('g', 'r1', changing=changing, version=version)
+        apply_record(self.tables, record)
+
+
+@pytest.fixture(params=[True, False], ids=['transaction', 'statement'])
+def promotion(request):
+    """Return a statement that waits for the end of a promotion."""
+    return Promotion(in_transaction=request.param)
+
+
+def test_a_statement_is_sent_once_the_promotion_has_ended(promotion):
+    # Guards against an operation that is lost because its caller's retries
+    # all fall into one promotion.
+    promotion.advance(0.5)
+    assert not promotion.replies and not promotion.pools.waiting
+    promotion.end()
+    promotion.advance(0.05)
+    assert promotion.pools.waiting and not promotion.replies
+
+
+def test_a_statement_is_refused_before_it_times_out(promotion):
+    promotion.advance(0.75)
+    assert not promotion.replies
+    promotion.advance(0.05)
+    assert promotion.replies[0].kind is ReplyKind.REFUSED
+    assert not promotion.pools.waiting
+
+
+def test_the_statement_of_a_caller_that_has_left_does_not_wait(promotion):
+    promotion.session.ended = True
+    promotion.advance(0.05)
+    promotion.end()
+    promotion.advance(0.05)
+    assert not promotion.pools.waiting and promotion.replies
