Borrow a connection while a server accepts no more

Cause: after a loss of power the dead connections stay open at the servers for 3 s and fill most of the limit of 16. Change: a proxy without connections of its own to a full server borrows one from a peer, the nearest first; a proxy that has none itself refuses to lend at once, so two of them do not ask each other.

--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -257,6 +257,21 @@
             OPEN_DIRECTLY if now - since >= NO_LENDER_TIMEOUT_S else NO_LENDER
         )
 
+    def other_lenders(self, server: Server) -> list[str]:
+        """Return the other live lenders of a server, the nearest first."""
+        tables = self._tables
+        names = [
+            name for name in self.lender_names(server) if name != tables.name
+        ]
+        live = self._live_peers(names, steady_seconds())
+        return sorted(
+            live,
+            key=lambda name: (
+                tables.peers[name].failure_domain != tables.failure_domain,
+                names.index(name),
+            ),
+        )
+
     def _active(self, lender_names: list[str], live: set[str]) -> set[str]:
         """Return the lenders in use; this proxy is live to itself."""
         tables = self._tables
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -101,7 +101,7 @@
     async def _lend(self, key: LoanKey, loan_request: LoanRequest) -> None:
         server = self._tables.servers.get(loan_request.server)
         connection = None
-        if server is not None:
+        if server is not None and self._pools.may_lend(server):
             connection = await self._pools.pool(server).acquire(
                 {}, [], _connection_request(loan_request)
             )
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 from collections.abc import Iterable
 
 from toucandeal.caller_sessions import (
@@ -23,7 +24,11 @@
 from toucandeal.statement_queue import ConnectionRequest
 from toucandeal.workspace_connections import busiest
 from toucandeald.borrowing import NO_LENDER, NOT_LENT, OPEN_DIRECTLY, Borrowing
-from toucandeald.connection_pool import ConnectionPool, OpenConnection
+from toucandeald.connection_pool import (
+    FULL_RETRY_DELAY_S,
+    ConnectionPool,
+    OpenConnection,
+)
 from toucandeald.logs import log_event
 from toucandeald.session_messages import (
     AnswerKind,
@@ -32,7 +37,7 @@
     ServerAnswer,
     ServerRequest,
 )
-from toucandeald.steady_clock import steady_seconds
+from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = ['SETUP_TIMEOUT_S', 'ServerPools']
 
@@ -43,6 +48,9 @@
 INTERNAL_PRIORITY = -1  # this proxy's own requests precede all callers'
 IDLE_SPARES = 2  # per server, so that a failover needs no handshakes
 WORKSPACE_USE_DECAY = 0.9  # each maintenance interval, 0.25 s
+FULL = ServerAnswer(
+    AnswerKind.TOO_MANY_CONNECTIONS, [], '', 'the server accepts no more'
+)
 
 
 class ServerPools:
@@ -63,6 +71,7 @@
         self._borrowing = borrowing
         self._pools: dict[str, ConnectionPool] = {}
         self._workspace_uses: dict[str, float] = {}
+        self._full_until: dict[str, float] = {}
 
     @property
     def opened(self) -> int:
@@ -273,12 +282,46 @@
         source = self._borrowing.source(server, workspace)
         if source == NO_LENDER:
             return NOT_LENT
-        if source == OPEN_DIRECTLY:
-            pool = self.pool(server)
-            if not pool.retains_idle:  # this proxy has just become the lender
-                self._update_limit(pool)
-            return await self._open_connection(server, workspace, timeout_s)
-        return await self._borrowing.borrow(source, server, connection_request)
+        if source != OPEN_DIRECTLY:
+            return await self._borrowing.borrow(
+                source, server, connection_request
+            )
+        pool = self.pool(server)
+        if not pool.retains_idle:  # this proxy has just become the lender
+            self._update_limit(pool)
+        if steady_seconds() >= self._full_until.get(server.name, -math.inf):
+            opened = await self._open_connection(server, workspace, timeout_s)
+            if not _is_full(opened):
+                return opened
+            self._full_until[server.name] = (
+                steady_seconds() + FULL_RETRY_DELAY_S
+            )
+        else:
+            await pause(self._clock, 0)  # until the statement is in the queue
+        return await self._borrow_of_full(pool, connection_request)
+
+    async def _borrow_of_full(
+        self, pool: ConnectionPool, connection_request: ConnectionRequest
+    ):
+        """Borrow a connection to a server that accepts no more of them.
+
+        After a loss of all proxies, their dead connections occupy most of the
+        server's limit for seconds, and the first proxies to restart take the
+        rest.
+        """
+        if pool.waiting and not _has_own(pool) and not self._divided:
+            for lender in self._borrowing.other_lenders(pool.server):
+                borrowed = await self._borrowing.borrow(
+                    lender, pool.server, connection_request
+                )
+                if not isinstance(borrowed, ServerAnswer):
+                    return borrowed
+        return FULL
+
+    def may_lend(self, server: Server) -> bool:
+        """Return whether this proxy has, or may open, connections to lend."""
+        full_until = self._full_until.get(server.name, -math.inf)
+        return steady_seconds() >= full_until or _has_own(self.pool(server))
 
     def _update_limit(self, pool: ConnectionPool) -> None:
         configuration = self._tables.configuration
@@ -354,5 +397,17 @@
             self.on_suspicion(server, refusal.reason)
 
 
+def _has_own(pool: ConnectionPool) -> bool:
+    """Return whether a connection is open that was not borrowed."""
+    return any(not connection.borrowed for connection in pool.connections)
+
+
+def _is_full(opened) -> bool:
+    return (
+        isinstance(opened, ServerAnswer)
+        and opened.kind is AnswerKind.TOO_MANY_CONNECTIONS
+    )
+
+
 def _log_ignored(server: Server, reason: str) -> None:
     log_event('suspicion ignored', server=server.name, reason=reason)
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -36,7 +36,7 @@
     RollBack,
     ServerAnswer,
 )
-from toucandeald.steady_clock import virtual_time
+from toucandeald.steady_clock import pause, virtual_time
 
 SERVER = Server('i-1', 'g', '10.0.0.1:80', 'z1', 2, False, True)
 DONE = ServerAnswer(AnswerKind.COMPLETED, ['x'], 'signed', '')
@@ -72,6 +72,7 @@
     def __init__(self):
         self.clock = Clock()
         self.lossy = False
+        self.outcome = None  # of attempts to open, instead of a connection
         self.connections = []
         self.tables = {name: self._tables(name) for name in ('a', 'b')}
         self.records = {
@@ -98,6 +99,8 @@
 
     async def _open(self, server, workspace, timeout_s):
         del server, workspace, timeout_s
+        if self.outcome is not None:
+            return self.outcome
         self.connections.append(StubConnection())
         return self.connections[-1]
 
@@ -326,6 +329,55 @@
     return results
 
 
+FULL = ServerAnswer(AnswerKind.TOO_MANY_CONNECTIONS, [], '', 'full')
+
+
+def _let_all_open_directly(pair):
+    for tables in pair.tables.values():
+        tables.configuration = tables.configuration._replace(
+            groups={'g': InteractiveGroup('g', 16)}
+        )
+        tables.primary_lease.registered = pair.records
+
+
+def _pools_at_full_server(pair):
+    async def refuse(server, workspace, timeout_s):
+        del server, workspace, timeout_s
+        await pause(pair.clock, 0)
+        return FULL
+
+    return ServerPools(pair.clock, pair.tables['b'], refuse, pair.borrowing)
+
+
+def test_a_proxy_borrows_while_the_server_accepts_no_more(pair):
+    # Guards against proxies that restart last after a loss of all of them and
+    # serve nobody until the server has noticed its dead connections.
+    _let_all_open_directly(pair)
+    pool = _pools_at_full_server(pair).pool(SERVER)
+    for _ in range(2):  # the second one knows that the server is full
+        acquired = _acquire(pool, pair.statement())
+        pair.clock.advance(0)
+        assert acquired[0].borrowed
+        pool.release(acquired[0])
+    assert pair.lending.count == 0
+
+
+def test_a_full_server_without_lenders_ends_the_statement_at_once(pair):
+    # Guards against two proxies without connections that ask each other.
+    _let_all_open_directly(pair)
+    lent_pool = pair.pools.pool(SERVER)
+    for connection in lent_pool.connections:
+        lent_pool.discard(connection)
+    pair.outcome = FULL
+    lent_pool.open_spare(1)
+    pair.clock.advance(0)
+    acquired = _acquire(
+        _pools_at_full_server(pair).pool(SERVER), pair.statement()
+    )
+    pair.clock.advance(0)
+    assert acquired == [None]
+
+
 def test_a_busy_lender_ends_only_the_statement_that_it_refused(pair):
     # Guards against a refusal for one statement that ends others of the
     # borrower, or stops it from borrowing for more urgent ones.
