Avoid a silent server until a spare connection to it is open

Cause: a server that gave no answer was avoided for 0.25 s, and then a caller's read tried it again and waited for up to 0.6 of its objective, as long as the server was dark. Change: it is avoided for 1 s, longer than the time between two attempts to open a spare connection; the first open one ends that at once. A server that refuses connections is tried after 0.25 s as before.

--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -43,6 +43,9 @@
 
 SETUP_TIMEOUT_S = 0.5  # for a request that occupies no slot
 AVOID_S = 0.25  # for a server that refused connections
+# For a server that gave no answer: longer than the time between two attempts to
+# open a spare connection, which tells that it is back.
+AVOID_SILENT_S = 1.0
 LAGGING_RETRY_DELAY_S = 0.06  # before a lagging replica is retried
 MAX_BORROWED = 8  # connections to a server; fewer than it accepts
 INTERNAL_PRIORITY = -1  # this proxy's own requests precede all callers'
@@ -391,9 +394,11 @@
             load.avoided_until = now
             return
         pool = self._pools.get(server.name)
+        is_silent = refusal.kind is AnswerKind.LOST
         if pool is None or not pool.connections:
-            load.avoided_until = now + AVOID_S
-        if refusal.kind is AnswerKind.LOST:
+            avoid_s = AVOID_SILENT_S if is_silent else AVOID_S
+            load.avoided_until = now + avoid_s
+        if is_silent:
             self.on_suspicion(server, refusal.reason)
 
 
