Tell the balancer sooner that a proxy is cut off

Cause: a proxy that loses its lease refuses its callers, who come back to it until the load balancer has missed two probes; 0.6 s of that passed before the probe failed. Change: 0.1 s without a lease, which has missed several renewals by then, while a peer has been silent for 1 s.

--- a/packages/toucandeal/src/toucandeal/isolation.py
+++ b/packages/toucandeal/src/toucandeal/isolation.py
@@ -13,7 +13,9 @@
 
 __all__ = ['ISOLATED_AFTER_S', 'IsolationState', 'is_isolated', 'record_lease']
 
-ISOLATED_AFTER_S = 0.6  # without a lease, before the balancer is notified
+# Without a lease, which has missed several renewals by then, and with a silent
+# peer. The load balancer takes two more seconds to notice.
+ISOLATED_AFTER_S = 0.1
 PEER_SILENT_S = 1.0  # several heartbeat intervals
 
 
