Do not let statements of a limited workspace wait for a server

Cause: a statement spends its token when it comes. All that wait for a promotion are sent when it ends, so the servers could run more of a workspace in a window than its rate allows; the arithmetic of docs/design/rates.md counts the time at which a token is spent. Change: such statements are refused at once, as before the waits. Without rates nothing changes.

--- a/packages/toucandeald/src/toucandeald/placement_waits.py
+++ b/packages/toucandeald/src/toucandeald/placement_waits.py
@@ -49,17 +49,29 @@
     waited_s = steady_seconds() + CHECK_INTERVAL_S - call.began_at
     return (
         waited_s < useful_wait_s(refusal, call.route)
+        and not _has_rate(context, call)
         and not call.session.ended
         and holds_workspace(context.tables, call.session)
     )
 
 
+def _has_rate(context: ForwardingContext, call: StatementCall) -> bool:
+    """Return whether the operations of the statement's workspace are limited.
+
+    All that wait for a promotion are sent at its end, in addition to those that
+    the rate allows then.
+    """
+    workspaces = context.tables.configuration.workspaces
+    workspace = workspaces.get(call.session.workspace)
+    return workspace is not None and workspace.rate_per_s is not None
+
+
 def may_repeat(
     context: ForwardingContext, call: StatementCall, answer: ServerAnswer
 ) -> bool:
     """Return whether an attempt without effect is followed by another one."""
     window_s = call.retry_window_s
-    if answer.kind is AnswerKind.WITHHELD:
+    if answer.kind is AnswerKind.WITHHELD and not _has_rate(context, call):
         window_s = call.route.timeout_s
     return (
         steady_seconds() - call.began_at <= window_s
--- a/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
@@ -111,9 +111,12 @@
 class Promotion:
     """A statement that arrives while a promotion is under way."""
 
-    def __init__(self, *, in_transaction):
+    def __init__(self, *, in_transaction, rate_per_s=None):
         self.clock = Clock()
         self.tables = _tables()
+        self.tables.configuration.workspaces['north'] = Workspace(
+            'north', rate_per_s=rate_per_s
+        )
         self.pools = Pools()
         self.replies = []
         self.session = CallerSession(1, 'db', key_digest('k'), 'north')
@@ -174,3 +177,11 @@
     promotion.end()
     promotion.advance(0.05)
     assert not promotion.pools.waiting and promotion.replies
+
+
+@pytest.mark.parametrize('in_transaction', [True, False])
+def test_statements_of_a_limited_workspace_do_not_wait(in_transaction):
+    # Guards against a rate that is exceeded when a promotion ends.
+    promotion = Promotion(in_transaction=in_transaction, rate_per_s=10.0)
+    promotion.advance(0.01)
+    assert promotion.replies[0].kind is ReplyKind.REFUSED
