Remember a full server without counting it as heard

Cause: while a server is known to be full, an attempt that is not made was reported like a refusal by the server, so a server that had fallen silent meanwhile counted as heard for up to 0.3 s more. Change: such an attempt ends as one without a lender, which is no evidence. The new test fails on the version before.

--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -51,9 +51,6 @@
 INTERNAL_PRIORITY = -1  # this proxy's own requests precede all callers'
 IDLE_SPARES = 2  # per server, so that a failover needs no handshakes
 WORKSPACE_USE_DECAY = 0.9  # each maintenance interval, 0.25 s
-FULL = ServerAnswer(
-    AnswerKind.TOO_MANY_CONNECTIONS, [], '', 'the server accepts no more'
-)
 
 
 class ServerPools:
@@ -292,34 +289,36 @@
         pool = self.pool(server)
         if not pool.retains_idle:  # this proxy has just become the lender
             self._update_limit(pool)
+        refusal = NOT_LENT
         if steady_seconds() >= self._full_until.get(server.name, -math.inf):
-            opened = await self._open_connection(server, workspace, timeout_s)
-            if not _is_full(opened):
-                return opened
+            refusal = await self._open_connection(server, workspace, timeout_s)
+            if not _is_full(refusal):
+                return refusal
             self._full_until[server.name] = (
                 steady_seconds() + FULL_RETRY_DELAY_S
             )
         else:
             await pause(self._clock, 0)  # until the statement is in the queue
-        return await self._borrow_of_full(pool, connection_request)
+        return await self._borrow_of_full(pool, connection_request) or refusal
 
     async def _borrow_of_full(
         self, pool: ConnectionPool, connection_request: ConnectionRequest
     ):
-        """Borrow a connection to a server that accepts no more of them.
+        """Borrow a connection to a server that accepts no more, or return None.
 
         After a loss of all proxies, their dead connections occupy most of the
         server's limit for seconds, and the first proxies to restart take the
         rest.
         """
-        if pool.waiting and not _has_own(pool) and not self._divided:
-            for lender in self._borrowing.other_lenders(pool.server):
-                borrowed = await self._borrowing.borrow(
-                    lender, pool.server, connection_request
-                )
-                if not isinstance(borrowed, ServerAnswer):
-                    return borrowed
-        return FULL
+        if not pool.waiting or _has_own(pool) or self._divided:
+            return None
+        for lender in self._borrowing.other_lenders(pool.server):
+            borrowed = await self._borrowing.borrow(
+                lender, pool.server, connection_request
+            )
+            if not isinstance(borrowed, ServerAnswer):
+                return borrowed
+        return None
 
     def may_lend(self, server: Server) -> bool:
         """Return whether this proxy has, or may open, connections to lend."""
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -16,7 +16,7 @@
     ProxyRecord,
     Server,
 )
-from toucandeal.fleet_tables import FleetTables, PeerView
+from toucandeal.fleet_tables import FleetTables, PeerView, server_load
 from toucandeal.statement_queue import ConnectionRequest
 from toucandeald.borrowing import (
     LENDER_BUSY,
@@ -362,6 +362,22 @@
     assert pair.lending.count == 0
 
 
+def test_a_server_that_is_known_to_be_full_is_not_heard_again(pair):
+    # Guards against a silent server that counts as heard because this proxy
+    # remembers its last refusal.
+    _let_all_open_directly(pair)
+    pool = _pools_at_full_server(pair).pool(SERVER)
+    load = server_load(pair.tables['b'], SERVER.name)
+    borrowed = _acquire(pool, pair.statement())
+    pair.clock.advance(0)
+    pool.release(borrowed[0])
+    pair.tables['b'].peers.clear()
+    pair.clock.advance(0.2)
+    refused = _acquire(pool, pair.statement())
+    pair.clock.advance(0)
+    assert refused == [None] and load.heard_at < pair.clock.seconds()
+
+
 def test_a_full_server_without_lenders_ends_the_statement_at_once(pair):
     # Guards against two proxies without connections that ask each other.
     _let_all_open_directly(pair)
