Do not repeat reads for callers that left, nor late ones of limited workspaces

Two faults of the waits, found on reading the change once more. A read whose caller had left got a connection, returned it and was placed again, up to twelve times: the check that ends a read's rounds did not know of the caller. And a withheld read of a workspace with a rate was repeated until its time-out, which writes and transactions are not, since its token belongs to an earlier window. Change: the end of the rounds and the window of repeats are decided by the functions that writes and transactions use.

--- a/packages/toucandeald/src/toucandeald/placement_waits.py
+++ b/packages/toucandeald/src/toucandeald/placement_waits.py
@@ -9,7 +9,13 @@
 from toucandeald.statement_calls import StatementCall
 from toucandeald.steady_clock import pause, steady_seconds
 
-__all__ = ['may_repeat', 'wait_for_placement', 'withheld_reason']
+__all__ = [
+    'is_wanted',
+    'may_repeat',
+    'repeat_window_s',
+    'wait_for_placement',
+    'withheld_reason',
+]
 
 CHECK_INTERVAL_S = 0.03
 
@@ -50,11 +56,11 @@
     return (
         waited_s < useful_wait_s(refusal, call.route)
         and not _has_rate(context, call)
-        and _is_wanted(context, call)
+        and is_wanted(context, call)
     )
 
 
-def _is_wanted(context: ForwardingContext, call: StatementCall) -> bool:
+def is_wanted(context: ForwardingContext, call: StatementCall) -> bool:
     """Return whether the caller waits for the answer and may receive it."""
     return not call.session.ended and holds_workspace(
         context.tables, call.session
@@ -72,16 +78,29 @@
     return workspace is not None and workspace.rate_per_s is not None
 
 
+def repeat_window_s(
+    context: ForwardingContext,
+    call: StatementCall,
+    answer: ServerAnswer,
+    usual_s: float,
+) -> float:
+    """Return the time from its start in which a statement may be repeated.
+
+    One that was withheld may be repeated until its time-out, like one that
+    waits for a server.
+    """
+    if answer.kind is AnswerKind.WITHHELD and not _has_rate(context, call):
+        return call.route.timeout_s
+    return usual_s
+
+
 def may_repeat(
     context: ForwardingContext, call: StatementCall, answer: ServerAnswer
 ) -> bool:
     """Return whether an attempt without effect is followed by another one."""
-    window_s = call.retry_window_s
-    if answer.kind is AnswerKind.WITHHELD and not _has_rate(context, call):
-        window_s = call.route.timeout_s
-    return steady_seconds() - call.began_at <= window_s and _is_wanted(
-        context, call
-    )
+    elapsed_s = steady_seconds() - call.began_at
+    window_s = repeat_window_s(context, call, answer, call.retry_window_s)
+    return elapsed_s <= window_s and is_wanted(context, call)
 
 
 def withheld_reason(
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -4,11 +4,12 @@
 
 from toucandeal.placement import Placement, Refusal, place_read, place_write
 from toucandeal.read_crossing import count_served
-from toucandeald.admission import holds_workspace
 from toucandeald.forwarding_context import ForwardingContext
 from toucandeald.logs import log_event
 from toucandeald.placement_waits import (
+    is_wanted,
     may_repeat,
+    repeat_window_s,
     wait_for_placement,
     withheld_reason,
 )
@@ -87,8 +88,8 @@
         return refused(call.session, refusal_for(answer))
 
     def _has_ended(self, call: StatementCall) -> bool:
-        return steady_seconds() >= call.deadline_at or not self._is_admitted(
-            call
+        return steady_seconds() >= call.deadline_at or not is_wanted(
+            self._context, call
         )
 
     async def _next_placement(
@@ -109,11 +110,25 @@
             return placement
         if answer.kind is AnswerKind.LOST:
             return self._place_read(call, frozenset())
-        if not _is_worth_another_round(call, answer):
+        if not self._is_worth_another_round(call, answer):
             return Refusal(answer.reason, DEFAULT_RETRY_AFTER_S)
         await pause(self._context.clock, ROUND_PAUSE_S)
         return await self._wait_for_server(call)
 
+    def _is_worth_another_round(
+        self, call: StatementCall, answer: ServerAnswer
+    ) -> bool:
+        """Return whether a read is likely to succeed after `ROUND_PAUSE_S`.
+
+        By then a lagging replica may have caught up, a full queue may have
+        advanced, and a primary may have been confirmed.
+        """
+        window_s = repeat_window_s(
+            self._context, call, answer, call.route.latency_objective_s
+        )
+        elapsed_s = steady_seconds() - call.began_at
+        return answer.kind in TRANSIENT and elapsed_s < window_s
+
     async def _wait_for_server(
         self, call: StatementCall
     ) -> Placement | Refusal:
@@ -159,9 +174,6 @@
     def _place_write(self, call: StatementCall) -> Placement | Refusal:
         return place_write(self._context.tables, call.route, steady_seconds())
 
-    def _is_admitted(self, call: StatementCall) -> bool:
-        return holds_workspace(self._context.tables, call.session)
-
     async def _reply_to_write(
         self, call: StatementCall, placement: Placement, answer: ServerAnswer
     ) -> CallerReply:
@@ -239,20 +251,6 @@
     )
 
 
-def _is_worth_another_round(call: StatementCall, answer: ServerAnswer) -> bool:
-    """Return whether a read is likely to succeed after `ROUND_PAUSE_S`.
-
-    By then a lagging replica may have caught up, a full queue may have
-    advanced, and a primary may have been confirmed.
-    """
-    elapsed_s = steady_seconds() - call.began_at
-    if answer.kind is AnswerKind.WITHHELD:
-        return elapsed_s < call.route.timeout_s
-    return (
-        answer.kind in TRANSIENT and elapsed_s < call.route.latency_objective_s
-    )
-
-
 def _read_timeout_s(call: StatementCall, attempt: int) -> float:
     """Return the answer timeout of an attempt of a read."""
     if attempt >= FULL_TIMEOUT_ATTEMPT:
--- a/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
@@ -28,6 +28,7 @@
 
 ROUTE = Route('db', 'g', RouteKind.PRIMARY, 0.8, 0.2)
 WRITE = Statement(Verb.WRITE, 'WRITE a 1', writes=True)
+READ = Statement(Verb.READ, 'READ a')
 
 
 class Pools:
@@ -185,3 +186,53 @@
     promotion = Promotion(in_transaction=in_transaction, rate_per_s=10.0)
     promotion.advance(0.01)
     assert promotion.replies[0].kind is ReplyKind.REFUSED
+
+
+class WaitingRead:
+    """A read that waits for a connection to the primary."""
+
+    def __init__(self, rate_per_s=None):
+        self.clock = Clock()
+        self.tables = _tables()
+        self.tables.configuration.workspaces['north'] = Workspace(
+            'north', rate_per_s=rate_per_s
+        )
+        self.pools = Pools()
+        self.replies = []
+        self.session = CallerSession(1, 'db', key_digest('k'), 'north')
+        forwarding = Forwarding(
+            self.clock, self.tables, self.pools, None, random.Random(1)
+        )
+        with virtual_time(self.clock.seconds):
+            defer.ensureDeferred(
+                forwarding.forward(self.session, 'x', READ, 0.0)
+            ).addCallback(self.replies.append)
+
+    def serve(self):
+        """Give the read its connection after its objective of 0.2 s."""
+        with virtual_time(self.clock.seconds):
+            self.clock.advance(0.3)
+            self.pools.waiting[0].callback('connection')
+            self.clock.pump(itertools.repeat(0.01, 5))
+
+
+@pytest.mark.parametrize(('rate_per_s', 'attempts'), [(None, 2), (10.0, 1)])
+def test_a_withheld_read_of_a_limited_workspace_is_not_repeated_late(
+    rate_per_s, attempts
+):
+    # Guards against a rate that is exceeded by reads that come with an earlier
+    # window's token.
+    read = WaitingRead(rate_per_s)
+    read.tables.groups['g'].epoch += 1
+    read.serve()
+    assert len(read.pools.waiting) == attempts
+    assert bool(read.replies) == (attempts == 1)
+
+
+def test_the_read_of_a_caller_that_has_left_is_not_repeated():
+    # Guards against connections that are taken, up to twelve times, for reads
+    # whose answers nobody gets.
+    read = WaitingRead()
+    read.session.ended = True
+    read.serve()
+    assert len(read.pools.waiting) == 1 and read.replies
