Extend the time limit of store calls while the answer arrives

Cause: an answer of the store had 0.7 s, or the feed's wait and 1.0 s, in all. A configuration of 1,800 routes takes 350 KB in an answer, 0.56 s of an idle link of 5 Mbit/s; beside callers it was given up and requested anew for good, and each attempt took the link from callers. Ruled out: the rate limits, whose refusals after a loss of all proxies followed from proxies without a configuration, which do not vote (the simulated rates settle within 1 s).

--- a/packages/toucandeald/src/toucandeald/http_client.py
+++ b/packages/toucandeald/src/toucandeald/http_client.py
@@ -62,6 +62,7 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._pending_reply: defer.Deferred | None = None
         self._timer = None
+        self._progress_timeout_s = 0.0
         self._chunks: list[bytes] = []
         self._size = 0
         self._headers: dict[bytes, bytes] = {}
@@ -86,6 +87,7 @@
         body: bytes,
         timeout_s: float,
         headers: str = '',
+        progress_timeout_s: float = 0,
     ) -> defer.Deferred:
         """Send a request.
 
@@ -97,6 +99,9 @@
             The connection is closed if the reply is not complete by then.
         headers : str
             Additional header lines, each terminated by CRLF.
+        progress_timeout_s : float
+            Each part of the reply that arrives extends the time limit to at
+            least this much from then, in seconds.
 
         Returns
         -------
@@ -114,6 +119,7 @@
         self._reply = None
         self._message_count = 0
         self._size = 0
+        self._progress_timeout_s = progress_timeout_s
         self._timer = self._clock.callLater(
             max(timeout_s, 0), self._fail, 'the answer is overdue'
         )
@@ -160,6 +166,14 @@
             self._fail('the answer is too large')
         elif self._reply is not None:
             self._deliver()
+        else:
+            self._extend_time_limit()
+
+    def _extend_time_limit(self) -> None:
+        """Allow the rest of a reply whose parts keep arriving more time."""
+        extended_until = self._clock.seconds() + self._progress_timeout_s
+        if self._timer is not None and extended_until > self._timer.getTime():
+            self._timer.reset(self._progress_timeout_s)
 
     def _deliver(self) -> None:
         # The callback may send the next request on this connection, so the
