Send changed configurations to most proxies as compressed copies

Cause: each of 24 proxies read each change from the store. After a loss of all, each narrow link carried it again.

The same proxies notice a missing copy when the proof of freshness grows old, after 1.6 s. A started proxy waits for a copy as long as the row would take on its link, so those with wide links read first. Only where keys are revoked in time (the freshness calls run), and only while all counted proxies know the message. A copy carries the version of the store at which it was the newest, and the feed continues from there.

--- a/packages/toucandeal/src/toucandeal/read_schedule.py
+++ b/packages/toucandeal/src/toucandeal/read_schedule.py
@@ -12,6 +12,7 @@
 import xxhash
 
 __all__ = [
+    'INTERVAL_SPREAD',
     'OWN_READ_INTERVAL_S',
     'READ_INTERVAL_S',
     'RELAYED_LEASE_AGE_S',
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -10,9 +10,11 @@
 from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.primary_lease import counted_proxies
+from toucandeal.protocol_versions import OWN_PROTOCOL
 from toucandeald.admission import Admission
 from toucandeald.background_tasks import run_in_background
 from toucandeald.borrowing import Borrowing
+from toucandeald.configuration_copies import first_read_delay_s
 from toucandeald.confirmations import Confirmations
 from toucandeald.connection_pool import OpenConnection
 from toucandeald.domain_crossing import DomainCrossing
@@ -114,6 +116,8 @@
         random.SystemRandom().randrange(1, INCARNATIONS),
         settings.listen_peers,
         failure_domain=settings.failure_domain,
+        protocol=OWN_PROTOCOL,
+        link_mbps=settings.link_mbps or 0.0,
     )
     tables = FleetTables(settings.name, settings.failure_domain)
     tables.crossing_cost_s = settings.crossing_cost_s
@@ -135,7 +139,7 @@
         Admission(tables, forwarding.transactions, settings.revocation_limit_s),
         metrics,
     )
-    state.on_configuration = service.end_revoked_sessions
+    state.configuration.on_change = service.end_revoked_sessions
     work_stopper = WorkStopper(reactor, tables, pools, service, gossip)
     watch = PrimaryWatch(reactor, tables, ports.open_link)
     promoter = Promoter(
@@ -247,6 +251,11 @@
     )
     if settings.revocation_limit_s is not None:
         FreshnessCalls(reactor, parts.tables, parts.state).start()
+        parts.state.configuration.first_read_delay_s = (
+            0.0
+            if settings.first_start
+            else first_read_delay_s(settings.link_mbps)
+        )
     parts.state.start()
     call_every(HEARTBEAT_INTERVAL_S, parts.gossip.send_heartbeats)
     call_every(TICK_S, lambda: _tick(parts))
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -17,6 +17,7 @@
 from toucandeald.rate_wire import RateGrant, RateReport
 
 __all__ = [
+    'CompressedConfiguration',
     'ConfigurationCopy',
     'FleetMessage',
     'Heartbeat',
@@ -115,6 +116,17 @@
     content: bytes
 
 
+class CompressedConfiguration(msgspec.Struct, tag='z', array_like=True):
+    """The configuration, compressed with zlib.
+
+    It was the newest one at version `position` of the store.
+    """
+
+    sender: str
+    content: bytes
+    position: StoreVersion
+
+
 class ServersCopy(msgspec.Struct, tag='s', array_like=True):
     """The list of servers at a version of the store."""
 
@@ -148,6 +160,7 @@
     | LenderDemand
     | RecordsCopy
     | ConfigurationCopy
+    | CompressedConfiguration
     | ServersCopy
     | PromotionBegun
     | WorkStopped
--- a/packages/toucandeald/src/toucandeald/freshness_calls.py
+++ b/packages/toucandeald/src/toucandeald/freshness_calls.py
@@ -33,8 +33,13 @@
         self._retry_delay_s = RETRY_DELAY_S
 
     def start(self) -> None:
-        """Start the calls, and shorten the polls of the first two proxies."""
+        """Start the calls, and shorten the polls of the first two proxies.
+
+        The others need no feed of their own: a copy that does not come is
+        noticed when the proof grows old.
+        """
         self._state.configuration_wait_s = POLL_WAIT_S
+        self._state.configuration.uses_copies = True
         keep_running(self._clock, self._call_when_due)
 
     async def _call_when_due(self) -> None:
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -28,6 +28,7 @@
     update_assignment,
 )
 from toucandeald.fleet_wire import (
+    CompressedConfiguration,
     ConfigurationCopy,
     Heartbeat,
     LenderDemand,
@@ -211,8 +212,8 @@
                 self._apply_demands(message)
             case RecordsCopy():
                 self._state.apply_record_rows(shared_rows(message.rows))
-            case ConfigurationCopy():
-                self._state.apply_configuration(message.content)
+            case ConfigurationCopy() | CompressedConfiguration():
+                self._state.configuration.receive(message, self._state.era)
             case ServersCopy():
                 self._state.server_list.apply_snapshot(
                     shared_rows(message.rows), message.version
--- a/packages/toucandeald/src/toucandeald/peer_copies.py
+++ b/packages/toucandeald/src/toucandeald/peer_copies.py
@@ -10,7 +10,10 @@
     copy_rank,
 )
 from toucandeal.fleet_tables import FleetTables, configuration_version
+from toucandeal.protocol_versions import COMPRESSED_COPY_PROTOCOL
+from toucandeald.configuration_copies import compress
 from toucandeald.fleet_wire import (
+    CompressedConfiguration,
     ConfigurationCopy,
     Heartbeat,
     RecordsCopy,
@@ -18,7 +21,7 @@
     ServersCopy,
 )
 from toucandeald.shared_records import proxy_key
-from toucandeald.shared_state import SharedState
+from toucandeald.shared_state import SHORT_WAIT_PROXIES, SharedState
 from toucandeald.shared_store import SharedRow
 from toucandeald.steady_clock import steady_seconds
 
@@ -26,15 +29,19 @@
 
 SENDER_INTERVAL_S = 0.1  # between two proxies that may send a peer a copy
 RECORDS_SENDER_INTERVAL_S = 0.05  # shorter: leases depend on the records
-RECORDS_RETRY_INTERVAL_S = 0.4  # above heartbeat interval plus network delay
+RETRY_INTERVAL_S = 0.4  # above heartbeat interval plus network delay
 STORE_READ_TIME_S = 0.5  # for a peer's own read of the store on a narrow link
 COPY_RETRY_INTERVAL_S = 3.0  # a 256 KB copy takes 0.5 s on the narrowest link
-RECORDS_SCHEDULE = CopySchedule(
-    0, RECORDS_SENDER_INTERVAL_S, RECORDS_RETRY_INTERVAL_S
-)
+RECORDS_SCHEDULE = CopySchedule(0, RECORDS_SENDER_INTERVAL_S, RETRY_INTERVAL_S)
 CONFIGURATION_SCHEDULE = CopySchedule(
     STORE_READ_TIME_S, 2 * SENDER_INTERVAL_S, COPY_RETRY_INTERVAL_S
 )
+COMPRESSED_SCHEDULE = CopySchedule(
+    STORE_READ_TIME_S, SENDER_INTERVAL_S, RETRY_INTERVAL_S
+)
+# After a loss of all proxies any of them may be the first with a configuration.
+STARTED_SCHEDULE = CopySchedule(0, SENDER_INTERVAL_S, RETRY_INTERVAL_S)
+READER_SCHEDULE = CopySchedule(0, STORE_READ_TIME_S, RETRY_INTERVAL_S)
 SERVERS_SCHEDULE = CopySchedule(
     STORE_READ_TIME_S, SENDER_INTERVAL_S, COPY_RETRY_INTERVAL_S
 )
@@ -53,7 +60,8 @@
         self._tables = tables
         self._state = state
         self._send = send
-        self._outdated: dict[tuple[str, CopySchedule], OutdatedPeer] = {}
+        self._outdated: dict[tuple[str, str], OutdatedPeer] = {}
+        self._compressed = (b'', b'')
 
     def records_copy(self) -> RecordsCopy:
         """Return the records, without the proxies.
@@ -72,6 +80,7 @@
         state = self._state
         if self._is_due(
             heartbeat,
+            'records',
             RECORDS_SCHEDULE,
             heartbeat.records_version < state.records_version,
         ):
@@ -81,17 +90,16 @@
         version = configuration_version(self._tables)
         if self._is_due(
             heartbeat,
-            CONFIGURATION_SCHEDULE,
+            'configuration',
+            self._configuration_schedule(heartbeat),
             heartbeat.configuration_version < version,
         ):
             self._send(
-                heartbeat.address,
-                ConfigurationCopy(
-                    self._tables.name, state.configuration_content
-                ),
+                heartbeat.address, self._configuration_copy(heartbeat.sender)
             )
         if self._is_due(
             heartbeat,
+            'servers',
             SERVERS_SCHEDULE,
             heartbeat.servers_version < state.server_list.version,
         ):
@@ -107,6 +115,36 @@
                 ),
             )
 
+    def _configuration_schedule(self, heartbeat: Heartbeat) -> CopySchedule:
+        """Return the schedule of copies of the configuration for a peer."""
+        reads_compressed = self._reads_compressed(heartbeat.sender)
+        if not self._state.configuration.uses_copies or not reads_compressed:
+            return CONFIGURATION_SCHEDULE
+        if not heartbeat.configuration_version:
+            return STARTED_SCHEDULE
+        if self._state.receives_copies:
+            return COMPRESSED_SCHEDULE
+        return READER_SCHEDULE
+
+    def _configuration_copy(
+        self, peer: str
+    ) -> CompressedConfiguration | ConfigurationCopy:
+        """Return a copy of the configuration that a peer can decode."""
+        name = self._tables.name
+        content = self._state.configuration.content
+        position = self._state.configuration.position
+        if position is None or not self._reads_compressed(peer):
+            return ConfigurationCopy(name, content)
+        if self._compressed[0] is not content:
+            self._compressed = (content, compress(content))
+        return CompressedConfiguration(name, self._compressed[1], position)
+
+    def _reads_compressed(self, peer: str) -> bool:
+        record = self._tables.primary_lease.registered.get(peer)
+        return (
+            record is not None and record.protocol >= COMPRESSED_COPY_PROTOCOL
+        )
+
     def _may_send_tables(self) -> bool:
         """Return whether this proxy sends the configuration and the servers.
 
@@ -116,9 +154,13 @@
         return assignment is None or assignment.is_relay(self._tables.name)
 
     def _is_due(
-        self, heartbeat: Heartbeat, schedule: CopySchedule, is_outdated: bool
+        self,
+        heartbeat: Heartbeat,
+        kind: str,
+        schedule: CopySchedule,
+        is_outdated: bool,
     ) -> bool:
-        key = (heartbeat.sender, schedule)
+        key = (heartbeat.sender, kind)
         if not is_outdated:
             self._outdated.pop(key, None)
             return False
@@ -129,12 +171,24 @@
             schedule is RECORDS_SCHEDULE
             and self._state.reads_records_itself(now)
         )
-        rank = 0 if reads else self._rank(heartbeat.sender)
+        if schedule is READER_SCHEDULE:
+            rank = self._reader_rank(heartbeat.sender)
+        else:
+            rank = 0 if reads else self._rank(heartbeat.sender)
         due = copy_is_due(outdated, rank, schedule, now)
         if due:
             self._outdated[key] = outdated._replace(sent_at=now)
         return due
 
+    def _reader_rank(self, peer: str) -> int:
+        """Return 0 at the reader that sends copies to a peer, or 1.
+
+        The other one sends them if they have not arrived after the interval.
+        """
+        names = sorted({*self._tables.peers, self._tables.name})
+        readers = names[:SHORT_WAIT_PROXIES]
+        return int(copy_rank(self._tables.name, peer, readers) > 0)
+
     def _rank(self, peer: str) -> int:
         """Return the rank among the proxies that hear a peer's heartbeats."""
         senders: Iterable[str] = self._tables.peers
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -21,7 +21,6 @@
 )
 from toucandeal.fleet_tables import (
     FleetTables,
-    apply_configuration,
     apply_record,
     configuration_version,
 )
@@ -30,14 +29,21 @@
     lease_expires_at,
     record_store_read,
 )
+from toucandeal.protocol_versions import (
+    COMPRESSED_COPY_PROTOCOL,
+    common_protocol,
+)
 from toucandeal.read_schedule import (
+    INTERVAL_SPREAD,
     OWN_READ_INTERVAL_S,
     RELAYED_LEASE_AGE_S,
     ReadNeeds,
     read_is_due,
+    spread_fraction,
 )
 from toucandeal.store_versions import NO_VERSION, StoreVersion
 from toucandeald.background_tasks import keep_running
+from toucandeald.held_configuration import HeldConfiguration
 from toucandeald.logs import log_event
 from toucandeald.proxy_registry import ProxyRegistry
 from toucandeald.server_list import REMOVAL_DELAY_S, ServerList
@@ -55,10 +61,12 @@
 )
 from toucandeald.steady_clock import pause, steady_seconds
 
-__all__ = ['SharedState', 'SharedTables']
+__all__ = ['SHORT_WAIT_PROXIES', 'SharedState', 'SharedTables']
 
 FEED_WAIT_S = 2.0  # limits how long a dead connection goes undetected
 RELAYED_FEED_WAIT_S = 10.0  # for proxies that peers also send changes to
+# Below the time that a store keeps its changes, so that the feed continues.
+COPIED_FEED_INTERVAL_S = 8.0
 SHORT_WAIT_PROXIES = 2  # use FEED_WAIT_S; two, so that one may be isolated
 RETRY_DELAY_S = 0.15  # after a call that the store did not answer
 MAX_RETRY_DELAY_S = 0.6  # while the store keeps failing calls
@@ -104,7 +112,6 @@
     ) -> None:
         """Initialize without any rows."""
         self.on_record: Callable[[GroupRecord, float], None] = _ignore
-        self.on_configuration: Callable[[], None] = _do_nothing
         self.configuration_wait_s = FEED_WAIT_S
         self.promotion_lock = PromotionLock()
         self.lock_seen_at = steady_seconds()
@@ -112,11 +119,13 @@
         self.records: dict[str, SharedRow] = {}
         self.registry = ProxyRegistry(store, own)
         self.server_list = ServerList(tables, shared.decode_server)
+        self.configuration = HeldConfiguration(
+            tables, shared.decode_configuration
+        )
         self.unconfirmed: Records | None = None
         self.confirmed_era = 0
         # Whether a relay has reported another membership than this proxy's.
         self.membership_differs = False
-        self.configuration_content = b''
         self.store_reachable = False
         self._clock = clock
         self._tables = tables
@@ -128,8 +137,6 @@
         # Of all rows at the last read, whether their records are valid or not.
         self._row_versions: dict[str, StoreVersion] = {}
         self.stopped = False
-        # Of the configuration's table, from which the feed continues.
-        self._configuration_position: StoreVersion | None = None
 
     @property
     def has_read_records(self) -> bool:
@@ -209,7 +216,7 @@
         StoreUnavailable
             The store did not answer.
         """
-        position = self._configuration_position
+        position = self.configuration.position
         if position is not None:
             await self._read_changes(
                 self._shared.configuration_table,
@@ -264,24 +271,7 @@
         """Apply the configuration if it is among the rows."""
         for row in rows:
             if row.key == self._shared.configuration_key and not row.removed:
-                self.apply_configuration(row.content)
-
-    def apply_configuration(self, content: bytes) -> None:
-        """Put a configuration in force if it is newer than the present one."""
-        try:
-            configuration = self._shared.decode_configuration(content)
-        except ValueError as error:
-            log_event('configuration unreadable', reason=str(error))
-            return
-        if apply_configuration(self._tables, configuration):
-            self.configuration_content = content
-            log_event(
-                'configuration in force',
-                version=configuration.version,
-                routes=len(configuration.routes),
-                groups=len(configuration.groups),
-            )
-            self.on_configuration()
+                self.configuration.apply(row.content)
 
     def server_list_is_complete(self, now: float) -> bool:
         """Return whether a server without an entry is certain to be gone.
@@ -324,10 +314,30 @@
         self.store_reachable = False
 
     async def _follow_configuration(self) -> None:
+        if self.configuration.uses_copies:
+            await self.configuration.wait_for_copy(self._clock)
         await self._follow(
             self._shared.configuration_table,
             self.apply_configuration_rows,
             lambda rows, _: self.apply_configuration_rows(rows),
+            self.configuration.position,
+        )
+
+    @property
+    def receives_copies(self) -> bool:
+        """Return whether other proxies read changes and send copies of them."""
+        lease = self._tables.primary_lease
+        assignment = self._tables.relay_assignment
+        is_reader = (
+            self.rank() < SHORT_WAIT_PROXIES
+            if assignment is None
+            else assignment.is_relay(self._own.name)
+        )
+        return (
+            self.configuration.uses_copies
+            and not is_reader
+            and common_protocol(lease.registered.values())
+            >= COMPRESSED_COPY_PROTOCOL
         )
 
     async def _follow_servers(self) -> None:
@@ -342,8 +352,8 @@
         table: str,
         apply: Callable[[list[SharedRow]], None],
         reset: Callable[[list[SharedRow], StoreVersion], None],
+        version: StoreVersion | None = None,
     ) -> None:
-        version: StoreVersion | None = None
         retry_delay_s = RETRY_DELAY_S
         while not self.stopped:
             try:
@@ -387,7 +397,7 @@
         there is no newer one, so a garbled write doesn't end the service.
         """
         if table == self._shared.configuration_table:
-            self._configuration_position = version
+            self.configuration.continue_from(version)
             prove_by_call(
                 self._tables.configuration_freshness,
                 configuration_version(self._tables),
@@ -407,9 +417,17 @@
         from a copy may have given out `version` again, so its changes after it
         are not complete.
         """
-        return await self._read_changes(
-            table, version, apply, self._wait_s(table)
-        )
+        wait_s = self._wait_s(table)
+        if table == self._shared.configuration_table and self.receives_copies:
+            # A feed that waits would bring each change in full as well.
+            await pause(
+                self._clock,
+                COPIED_FEED_INTERVAL_S
+                * (1 - INTERVAL_SPREAD * spread_fraction(self._own.name)),
+            )
+            version = self.configuration.position or version
+            wait_s = 0
+        return await self._read_changes(table, version, apply, wait_s)
 
     def _wait_s(self, table: str) -> float:
         assignment = self._tables.relay_assignment
@@ -522,7 +540,3 @@
 
 def _ignore(record: GroupRecord, expires_at: float) -> None:
     log_event('record ignored', group=record.group, until=expires_at)
-
-
-def _do_nothing() -> None:
-    """Let a new configuration take effect with the next statements."""
--- a/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
@@ -13,9 +13,10 @@
 from twisted.internet import defer
 
 from toucandeal.errors import StoreUnavailable
-from toucandeal.fleet import GroupRecord, ProxyRecord
+from toucandeal.fleet import FleetConfiguration, GroupRecord, ProxyRecord
 from toucandeal.fleet_tables import FleetTables, server_load
 from toucandeal.primary_lease import lease_expires_at, may_use_primary
+from toucandeal.protocol_versions import OWN_PROTOCOL
 from toucandeal.store_versions import NO_VERSION, StoreVersion
 from toucandeald.fleet_wire import FleetMessage
 from toucandeald.gossip import HEARTBEAT_INTERVAL_S, Gossip
@@ -101,6 +102,9 @@
         self.number = 0
         self.away = False
         self.reads = collections.Counter()
+        self.configuration = None
+        self.configuration_reads = collections.Counter()
+        self._waiting = []
 
     def put(self, key, content):
         """Write a row."""
@@ -108,6 +112,26 @@
         version = StoreVersion(self.era, self.number)
         self.rows[key] = SharedRow(key, content, version)
 
+    def put_configuration(self, content):
+        """Write the configuration, and answer the feeds that wait for it."""
+        self.number += 1
+        version = StoreVersion(self.era, self.number)
+        self.configuration = SharedRow('c', content, version)
+        waiting = self._waiting
+        self._waiting = []
+        for timer, passed in waiting:
+            if timer.active():
+                timer.cancel()
+                passed.callback(None)
+
+    async def wait_for_configuration(self, after, wait_s):
+        """Wait for a configuration after a version of the store."""
+        if self.configuration is None or self.configuration.version <= after:
+            passed = defer.Deferred()
+            timer = self.clock.callLater(wait_s, passed.callback, None)
+            self._waiting.append((timer, passed))
+            await passed
+
     def version(self):
         """Return the version of the newest row."""
         return StoreVersion(self.era, self.number)
@@ -134,13 +158,24 @@
         self.store.reads[self.name] += table == RECORDS_TABLE
         await self._call()
         rows = self.store.rows.values() if table == RECORDS_TABLE else ()
+        if table == 'c' and self.store.configuration is not None:
+            self.store.configuration_reads[self.name] += 1
+            rows = [self.store.configuration]
         answer = Snapshot(list(rows), self.store.version())
         await self._call()
         return answer
 
     async def changes(self, table, after, wait_s):
-        """Return no changes."""
-        del table
+        """Return the changes of the configuration, and of no other table."""
+        if table == 'c':
+            await self.store.wait_for_configuration(after, wait_s)
+            row = self.store.configuration
+            if row is not None and row.version > after:
+                self.store.configuration_reads[self.name] += 1
+                await self._call()
+                return Changes([row], row.version)
+            await self._call()
+            return Changes([], max(after, self.store.version()))
         await self.store.pass_time(wait_s)
         return Changes([], after)
 
@@ -187,7 +222,11 @@
 
     def __init__(self, fleet, name, domain, incarnation=1):
         self.own = ProxyRecord(
-            name, incarnation, f'{name}:1', failure_domain=domain
+            name,
+            incarnation,
+            f'{name}:1',
+            failure_domain=domain,
+            protocol=fleet.protocols[name],
         )
         self.name = name
         self.tables = FleetTables(name, domain)
@@ -195,7 +234,7 @@
             fleet.clock,
             self.tables,
             StoreClient(fleet.store, name, fleet.cut_from_store),
-            SharedTables('c', 'c', ValueError, 's', ValueError),
+            SharedTables('c', 'c', decode_configuration, 's', ValueError),
             self.own,
         )
         self.gossip = Gossip(self.tables, self.state, self.own)
@@ -233,20 +272,27 @@
         self.bytes = collections.Counter()
         self.far_bytes = collections.Counter()
         self.pairs = set()
+        self.protocols = collections.defaultdict(lambda: OWN_PROTOCOL)
 
     def register(self, name, incarnation=1):
         """Write the row of a proxy that has been running for long."""
         record = ProxyRecord(
-            name, incarnation, f'{name}:1', failure_domain=domain_of(name)
+            name,
+            incarnation,
+            f'{name}:1',
+            failure_domain=domain_of(name),
+            protocol=self.protocols[name],
         )
         self.store.put(proxy_key(name), encode_proxy(record))
 
-    def add(self, name, *, registered=False, incarnation=1):
-        """Start a proxy."""
+    def add(self, name, *, registered=False, incarnation=1, prepare=None):
+        """Start a proxy, after `prepare` was called with it."""
         if registered:
             self.register(name, incarnation)
         proxy = Proxy(self, name, domain_of(name), incarnation)
         self.proxies[name] = proxy
+        if prepare is not None:
+            prepare(proxy)
         proxy.state.start()
         offset = (hash_of(name) % 250) / 1000
         self._repeat(proxy, offset, HEARTBEAT_INTERVAL_S, self._beat)
@@ -340,6 +386,11 @@
             load.heard_at = self.clock.now
 
 
+def decode_configuration(content):
+    """Return the configuration whose version is the first word."""
+    return FleetConfiguration(int(content.split()[0]), {}, {}, 1.0)
+
+
 def hash_of(name):
     """Return a number that spreads the phases of proxies."""
     return sum(ord(letter) * 37**place for place, letter in enumerate(name))
