Keep the reports of rates from filling a narrow link

Operations of 73 workspaces come at once, and a proxy may report every 5 ms while one of them waits: 24 proxies, a coordinator with 5 Mbit/s. All 23 others lost its heartbeats for over a second, avoided it and did the same to the next one and back (16.3, 16.7, 18.2, 18.8 s). Ruled out: late votes; 24 simulated proxies on links without limits settle in 0.5 s.

Ways: votes that each proxy keeps for itself without a coordinator (not built, as the votes were not the cause); one report at a time until it is answered or 50 ms have passed, and coordinators with wide links first (both kept).

--- a/packages/toucandeal/src/toucandeal/rate_limits.py
+++ b/packages/toucandeal/src/toucandeal/rate_limits.py
@@ -20,7 +20,11 @@
 
 import xxhash
 
-from toucandeal.rendezvous import rendezvous_order
+from toucandeal.rendezvous import (
+    NO_LINKS,
+    rendezvous_order,
+    widest_first,
+)
 from toucandeal.workspaces import Workspace
 
 __all__ = [
@@ -125,10 +129,18 @@
     return shards[xxhash.xxh3_64_intdigest(workspace.encode()) % len(shards)]
 
 
-def coordinator_order(shard: str, proxies: Collection[str]) -> list[str]:
-    """Return the proxies in the order in which they coordinate a shard."""
+def coordinator_order(
+    shard: str,
+    proxies: Collection[str],
+    links_mbps: Mapping[str, float] = NO_LINKS,
+) -> list[str]:
+    """Return the proxies in the order in which they coordinate a shard.
+
+    Those with narrow links are the last, where the bandwidths are known.
+    """
     index, _, _ = shard.partition('/')
-    return rendezvous_order(proxies, f'rates {index}')
+    order = rendezvous_order(proxies, f'rates {index}')
+    return widest_first(order, links_mbps)
 
 
 def record_vote(votes: VoteCount, voter: str, valid_until: float) -> None:
--- a/packages/toucandeald/src/toucandeald/rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordination.py
@@ -44,7 +44,9 @@
 REPORT_INTERVAL_S = 0.2
 URGENT_INTERVAL_S = 0.005
 # Between two reports while the bucket is empty: the coordinator sends tokens
-# as they come, without further reports.
+# as they come, without further reports. Also while a report is not answered:
+# reports of 24 proxies every 5 ms fill a coordinator's link of 5 Mbit/s, and it
+# is avoided as its heartbeats come late.
 SCARCE_INTERVAL_S = 0.05
 MAX_WAIT_S = 0.25
 SURPLUS_FACTOR = 2  # of the tokens needed; more are returned unused
@@ -258,7 +260,8 @@
         """Return when to report for workspaces with waiting operations."""
         if not shard_view.name:
             return math.inf
-        if shard_view.unmet.keys() >= set(workspaces):
+        is_answered = shard_view.answered_at >= shard_view.reported_at
+        if not is_answered or shard_view.unmet.keys() >= set(workspaces):
             return shard_view.reported_at + SCARCE_INTERVAL_S
         return shard_view.reported_at + URGENT_INTERVAL_S
 
--- a/packages/toucandeald/src/toucandeald/rate_shards.py
+++ b/packages/toucandeald/src/toucandeald/rate_shards.py
@@ -2,8 +2,10 @@
 
 import math
 
+from toucandeal.fleet import ProxyRecord
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.primary_lease import counted_proxies
+from toucandeal.protocol_versions import known_links
 from toucandeal.rate_limits import (
     VOTE_VALID_S,
     coordinator_order,
@@ -70,6 +72,8 @@
         self._tables = tables
         self._membership = membership
         self._avoided: dict[str, float] = {}
+        self._links_of: dict[str, ProxyRecord] | None = None
+        self._links_mbps: dict[str, float] = {}
         # An earlier process of the same name may have voted until now.
         self._voted_at = steady_seconds()
 
@@ -94,7 +98,8 @@
         silent = now - heard_at > COORDINATOR_SILENT_S
         if shard_view.name and silent and shard_view.name != self._tables.name:
             self.avoid(shard_view.name, now)
-        chosen = next(iter(coordinator_order(shard, self._candidates(now))), '')
+        order = coordinator_order(shard, self._candidates(now), self._links())
+        chosen = next(iter(order), '')
         if chosen != shard_view.name:
             log_event('rate coordinator', shard=shard, name=chosen)
             shard_view.name = chosen
@@ -116,6 +121,14 @@
             return False
         return self._membership.is_established
 
+    def _links(self) -> dict[str, float]:
+        """Return the bandwidths by proxy, computed once for each list."""
+        registered = self._tables.primary_lease.registered
+        if registered is not self._links_of:
+            self._links_of = registered
+            self._links_mbps = known_links(registered.values())
+        return self._links_mbps
+
     def _candidates(self, now: float) -> list[str]:
         """Return the live proxies that may coordinate.
 
--- a/packages/toucandeald/src/toucandeald/tests/test_rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_rate_coordination.py
@@ -338,3 +338,25 @@
     assert reply.retry_after_s > 0
     assert admission.failed == [OVER_LIMIT]
     assert not admission.forwarded
+
+
+def test_reports_that_are_not_answered_are_not_followed_by_many(two):
+    """Guards against reports that fill the link of a slow coordinator.
+
+    After a loss of all proxies, operations of many workspaces come at once.
+    Reports of 24 proxies every 5 ms delayed the coordinator's heartbeats until
+    it was avoided, and so the next one.
+    """
+    names = [f'w{number}' for number in range(20)]
+    limits = {name: LIMIT._replace(name=name) for name in names}
+    for tables in two.tables.values():
+        tables.configuration = tables.configuration._replace(workspaces=limits)
+    began_at = two.clock.seconds()
+    for name in names:
+        two.acquire(OTHER, name)
+        two.clock.advance(0.006)
+    elapsed_s = two.clock.seconds() - began_at
+    reports = [
+        message for _, message in two.queued if isinstance(message, RateReport)
+    ]
+    assert len(reports) <= elapsed_s / 0.05 + 1
