Refuse at once what is known to be over the limit of a workspace

Cause: each operation over its limit waited 0.25 s for a token, then it was refused, although the coordinator knew that others had waited for longer.

Change: a report names the operations that wait, and a grant the time in which those of a workspace get their tokens. An operation that would wait too long is refused at once, with that time as its delay. As many as a proxy's part of the rate join a long wait, so that no token is left when those that wait give up together. Both fields are the last of their messages: an earlier build ignores them and sends none, which counts as no wait.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/rate_fleet.py
@@ -247,6 +247,7 @@
         self.waited_s: collections.Counter = collections.Counter()
         self.ran: dict[str, list[float]] = collections.defaultdict(list)
         self.refused: collections.Counter = collections.Counter()
+        self.refused_at_once: collections.Counter = collections.Counter()
         self.requested: collections.Counter = collections.Counter()
         self.demand: dict[tuple[str, str], float] = {}
         self._owed: dict[tuple[str, str], float] = {}
@@ -314,11 +315,13 @@
         self, workspace: str, delay_s: float | None, began_at: float
     ) -> None:
         """Count an operation that runs or is refused."""
-        self.waited_s[workspace] += self.clock.seconds() - began_at
+        waited_s = self.clock.seconds() - began_at
+        self.waited_s[workspace] += waited_s
         if delay_s is None:
             self.ran[workspace].append(self.clock.seconds())
         else:
             self.refused[workspace] += 1
+            self.refused_at_once[workspace] += waited_s < STEP_S
 
     def run(self, seconds: float) -> None:
         """Let time pass while operations are requested by `demand`."""
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_rates.py
@@ -60,6 +60,37 @@
     _check_windows(fleet, limit)
 
 
+@pytest.mark.parametrize('rate', [16.0, 60.0, 300.0])
+@pytest.mark.parametrize('factor', [2, 4])
+def test_what_is_over_the_limit_is_mostly_refused_at_once(rate, factor):
+    """Guards against operations that wait 0.25 s for a certain refusal."""
+    names = [f'p{number}' for number in range(24)]
+    limit = Workspace('w', 1, rate, rate / 2)
+    fleet = _fleet(names, limit, factor)
+    fleet.run(5)
+    before = fleet.refused['w'], fleet.refused_at_once['w']
+    assert _served_share(fleet, limit) >= SERVED_SHARE
+    refused = fleet.refused['w'] - before[0]
+    assert fleet.refused_at_once['w'] - before[1] >= refused / 2
+    _check_windows(fleet, limit)
+
+
+def test_a_load_below_the_limit_is_not_refused_after_a_restart_of_all():
+    """Guards against votes that come late when all proxies start at once."""
+    names = [f'p{number}' for number in range(24)]
+    fleet = _fleet(names, LIMIT, 0.8)
+    fleet.run(12)
+    for name in names:
+        fleet.kill(name)
+    fleet.run(2)
+    for name in names:
+        fleet.start(name)
+    fleet.run(1)
+    refused = fleet.refused['w']
+    fleet.run(10)
+    assert fleet.refused['w'] == refused
+
+
 @pytest.mark.parametrize('count', [1, 4, 26])
 def test_a_small_rate_used_within_its_limit_is_never_refused(count):
     """Guards against a single token that is held where it is not needed."""
--- a/packages/toucandeal/src/toucandeal/rate_balances.py
+++ b/packages/toucandeal/src/toucandeal/rate_balances.py
@@ -13,6 +13,7 @@
 from toucandeal.workspaces import Workspace
 
 __all__ = [
+    'MAX_RETRY_DELAY_S',
     'TOKEN_VALID_S',
     'Batch',
     'RateBalance',
@@ -20,6 +21,7 @@
     'expected_use',
     'expire_surplus',
     'expire_tokens',
+    'may_join_wait',
     'give_back_token',
     'held_tokens',
     'observe_use',
@@ -33,6 +35,7 @@
 USED_RECENTLY_S = 5.0
 IDLE_SHARE = 0.5  # of a limit, which may be held unused by all proxies
 AVERAGE_TIME_S = 1.0  # below, one operation would make the forecast 1
+MAX_JOINED_S = 0.1  # of a proxy's part of the rate, which may wait at once
 MAX_RETRY_DELAY_S = 10.0  # for rates near 0
 
 
@@ -58,6 +61,8 @@
         Numbers of expired unused tokens, by their grantor.
     use_per_s : float
         Moving average of the operations a second, with or without tokens.
+    joins, joined_at : float
+        Operations that may join a long wait, and when this was updated.
     """
 
     def __init__(self, now: float) -> None:
@@ -69,6 +74,8 @@
         self.used_at = -math.inf
         self.uses = 0
         self.observed_at = now
+        self.joins = 0.0
+        self.joined_at = now
 
 
 def add_tokens(balance: RateBalance, batch: Batch) -> None:
@@ -198,6 +205,32 @@
     balance.observed_at = now
 
 
+def may_join_wait(
+    balance: RateBalance, limit: Workspace, proxies: int, now: float
+) -> bool:
+    """Return whether an operation waits although too many do, and count it.
+
+    Operations that wait give up in the end, many of them at once. As many as a
+    proxy's part of the rate join them, so that the tokens that come then are
+    used.
+
+    Examples
+    --------
+    >>> balance, limit = RateBalance(0.0), Workspace('w', rate_per_s=20.0)
+    >>> [may_join_wait(balance, limit, 2, now) for now in (0.05, 0.1, 0.15)]
+    [False, True, False]
+    """
+    balance.joins = min(
+        balance.joins + (now - balance.joined_at) * limit.rate_per_s / proxies,
+        max(limit.rate_per_s * MAX_JOINED_S / proxies, 1),
+    )
+    balance.joined_at = now
+    if balance.joins < 1:
+        return False
+    balance.joins -= 1
+    return True
+
+
 def expected_use(
     balance: RateBalance, limit: Workspace, proxies: int, now: float
 ) -> int:
--- a/packages/toucandeal/src/toucandeal/rate_limits.py
+++ b/packages/toucandeal/src/toucandeal/rate_limits.py
@@ -9,6 +9,8 @@
 - One workspace sends many times its limit, spread evenly over the proxies or
   all through one proxy. Tokens are divided by what each proxy wants.
 - A limit is lowered far below what is sent, and raised again.
+- A workspace keeps sending more than its limit. Operations that would wait
+  longer than they may are refused at once.
 - Half of the proxies start anew. A bucket is filled only in proportion to the
   votes for its coordinator, and a proxy's vote is valid at one coordinator at
   most, so two coordinators in two views together keep within the limit.
@@ -40,6 +42,7 @@
     'record_grant',
     'record_vote',
     'shard_names',
+    'token_wait',
     'vote_weight',
     'workspace_shard',
 ]
@@ -306,6 +309,33 @@
     return credit
 
 
+def token_wait(waiting: int, rate_per_s: float, weight: float) -> float:
+    """Return the time in which a bucket yields tokens for all that wait.
+
+    Parameters
+    ----------
+    waiting : int
+        Operations at all proxies that wait for a token.
+    rate_per_s : float
+    weight : float
+        Share of the proxies that vote for the bucket's coordinator.
+
+    Returns
+    -------
+    float
+        In seconds; infinity if the bucket is not filled.
+
+    Examples
+    --------
+    >>> token_wait(8, 16.0, 1.0), token_wait(8, 16.0, 0.5)
+    (0.5, 1.0)
+    >>> token_wait(1, 0.0, 1.0)
+    inf
+    """
+    filled_per_s = rate_per_s * weight
+    return waiting / filled_per_s if filled_per_s > 0 else math.inf
+
+
 def _without(log: list[_Granted], tokens: int) -> list[_Granted]:
     """Return a log of grants without its first tokens."""
     kept = []
--- a/packages/toucandeald/src/toucandeald/http_client.py
+++ b/packages/toucandeald/src/toucandeald/http_client.py
@@ -164,10 +164,10 @@
             return
         if self._size > MAX_REPLY_BYTES:
             self._fail('the answer is too large')
-        elif self._reply is not None:
-            self._deliver()
-        else:
+        elif self._reply is None:
             self._extend_time_limit()
+        else:
+            self._deliver()
 
     def _extend_time_limit(self) -> None:
         """Allow the rest of a reply whose parts keep arriving more time."""
--- a/packages/toucandeald/src/toucandeald/rate_coordination.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordination.py
@@ -11,6 +11,7 @@
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.primary_lease import counted_proxies
 from toucandeal.rate_balances import (
+    MAX_RETRY_DELAY_S,
     TOKEN_VALID_S,
     Batch,
     RateBalance,
@@ -20,11 +21,13 @@
     expire_tokens,
     give_back_token,
     held_tokens,
+    may_join_wait,
     observe_use,
     retry_delay,
     take_returned,
     take_token,
 )
+from toucandeal.rate_limits import token_wait
 from toucandeal.workspaces import Workspace
 from toucandeald.logs import log_event
 from toucandeald.rate_coordinator import (
@@ -49,6 +52,12 @@
 # is avoided as its heartbeats come late.
 SCARCE_INTERVAL_S = 0.05
 MAX_WAIT_S = 0.25
+# Of what a grant says about the operations that wait; more than the interval of
+# reports, and the delay of a timer.
+WAITS_VALID_S = 0.25
+# Tokens are divided by how many operations wait at each proxy, not in the order
+# of their arrival, so some wait for twice the time in which all get theirs.
+SPREAD_FACTOR = 2
 SURPLUS_FACTOR = 2  # of the tokens needed; more are returned unused
 MAX_TICK_GAP_S = 0.2  # ticks come every 0.05 s
 
@@ -138,15 +147,42 @@
         balance.used_at = now
         queued = self._waiting.get(workspace)
         granted = not queued and take_token(balance, now)
-        if not granted:
-            granted = await self._wait(
-                workspace, min(ends_at, now + MAX_WAIT_S)
+        useful_until = min(ends_at, now + MAX_WAIT_S)
+        if not granted and (
+            now + self._known_wait(limit) <= useful_until
+            or may_join_wait(
+                balance,
+                limit,
+                len(counted_proxies(self._tables.primary_lease)) or 1,
+                now,
             )
+        ):
+            granted = await self._wait(workspace, useful_until)
         self.on_decision(workspace, granted)
         if granted:
             return None
         return self._refuse(limit, balance)
 
+    def _known_wait(self, limit: Workspace) -> float:
+        """Return the time in which an operation that waits gets a token.
+
+        It is known only while the coordinator reports that others wait, since
+        its bucket may hold tokens otherwise.
+        """
+        shard = self._shards.shard_of(limit.name)
+        shard_view = self._shards.by_shard.get(shard)
+        if shard_view is None or limit.name not in shard_view.waits:
+            return 0
+        noted_at, wait_s = shard_view.waits[limit.name]
+        age_s = steady_seconds() - noted_at
+        if age_s > WAITS_VALID_S:
+            return 0
+        own_waiting = len(self._waiting.get(limit.name, ()))
+        return max(
+            SPREAD_FACTOR * (wait_s - age_s),
+            token_wait(own_waiting, limit.rate_per_s, 1),
+        )
+
     def give_back(self, workspace: str) -> None:
         """Return the token of an operation that did not run at a server."""
         balance = self._balances.get(workspace)
@@ -167,7 +203,10 @@
             wanted=missing + held_tokens(balance),
             grant_age_s=shard_view and round(now - shard_view.answered_at, 3),
         )
-        return retry_delay(missing, limit.rate_per_s)
+        return max(
+            retry_delay(missing, limit.rate_per_s),
+            min(self._known_wait(limit), MAX_RETRY_DELAY_S),
+        )
 
     def _wait(self, workspace: str, ends_at: float) -> defer.Deferred:
         """Return a Deferred of whether a token has come by `ends_at`."""
@@ -202,6 +241,8 @@
         shard_view = self._shards.by_shard.get(shard)
         if shard_view is None or self._waiting[workspace]:
             return
+        # Those at other proxies have given up at about the same time.
+        shard_view.waits.pop(workspace, None)
         if workspace in shard_view.unmet:
             waiting = self._waiting_by_shard().get(shard, [])
             self._report(shard, shard_view, [*waiting, workspace])
@@ -303,6 +344,11 @@
                 now,
                 positive_counts(wanted),
                 positive_counts(returned),
+                {
+                    name: len(self._waiting[name])
+                    for name in wanted
+                    if self._waiting.get(name)
+                },
             ),
         )
 
--- a/packages/toucandeald/src/toucandeald/rate_coordinator.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordinator.py
@@ -1,5 +1,6 @@
 """The coordinator's part of the rates: votes, buckets and grants."""
 
+import collections
 import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -18,6 +19,7 @@
     fill_bucket,
     record_grant,
     record_vote,
+    token_wait,
     vote_weight,
 )
 from toucandeal.workspaces import Workspace
@@ -195,13 +197,14 @@
             for name, tokens in shares.items():
                 if tokens > 0:
                     record_grant(bucket, name, tokens, now)
-                    shard.reports[name].wanted[workspace] -= tokens
+                    _count_granted(shard.reports[name], workspace, tokens)
                     grants.setdefault(name, {})[workspace] = tokens
         return grants
 
     def _send_grants(
         self, shard: '_Shard', grants: dict[str, dict[str, int]], now: float
     ) -> None:
+        waits = self._waits(shard) if grants else {}
         for name, tokens in grants.items():
             report = shard.reports[name]
             self._send(
@@ -214,9 +217,25 @@
                     now,
                     report.sent_at,
                     tokens,
+                    waits=_waits_for(report, waits),
                 ),
             )
 
+    def _waits(self, shard: '_Shard') -> dict[str, float]:
+        """Return the waits for tokens of the workspaces that lack them."""
+        weight = vote_weight(shard.votes, shard.proxies)
+        limits = {
+            workspace: rate_limit(self._tables, workspace)
+            for workspace in shard.waiting
+        }
+        return {
+            workspace: token_wait(
+                shard.waiting[workspace], limit.rate_per_s, weight
+            )
+            for workspace, limit in limits.items()
+            if limit is not None
+        }
+
     def _schedule_division(self) -> None:
         waiting = any(shard.has_unmet for shard in self._shards.values())
         if waiting and self._dividing is None:
@@ -276,6 +295,14 @@
             for count in report.wanted.values()
         )
 
+    @property
+    def waiting(self) -> collections.Counter[str]:
+        """Return how many operations wait for a token, by workspace."""
+        counts: collections.Counter[str] = collections.Counter()
+        for report in self.reports.values():
+            counts.update(report.waiting)
+        return +counts
+
     def forget_reports(self, before: float) -> None:
         """Forget the requests of operations that no longer wait."""
         for sender, received_at in list(self.received_at.items()):
@@ -292,6 +319,28 @@
         }
 
 
+def _count_granted(report: RateReport, workspace: str, tokens: int) -> None:
+    """Subtract granted tokens from what a report still wants."""
+    report.wanted[workspace] -= tokens
+    if workspace in report.waiting:
+        report.waiting[workspace] = max(report.waiting[workspace] - tokens, 0)
+
+
+def _waits_for(report: RateReport, waits: dict[str, float]) -> dict[str, float]:
+    """Return the waits that the answer to a report names.
+
+    A report without waiting operations comes every 0.2 s. The others may come
+    every few milliseconds, so their answers are kept short.
+    """
+    if not report.waiting:
+        return waits
+    return {
+        workspace: wait_s
+        for workspace, wait_s in waits.items()
+        if workspace in report.wanted
+    }
+
+
 def _is_older(report: RateReport, known: RateReport) -> bool:
     """Return whether a report was overtaken by a later one of its sender."""
     return (
--- a/packages/toucandeald/src/toucandeald/rate_shards.py
+++ b/packages/toucandeald/src/toucandeald/rate_shards.py
@@ -28,6 +28,8 @@
 
     `unmet` is what the last report requested and grants have not brought.
     `voted_at` is the time of the last vote, which went to `voted_for`.
+    `waits` are by workspace the time of the last grant that named its wait for
+    tokens, and that wait.
     """
 
     def __init__(self, voted_at: float) -> None:
@@ -39,6 +41,7 @@
         self.reported_at = -math.inf
         self.answered_at = -math.inf
         self.unmet: dict[str, int] = {}
+        self.waits: dict[str, tuple[float, float]] = {}
         self.echo: tuple[float, int] | None = None
         self.incarnation = 0
 
@@ -46,6 +49,8 @@
         """Record a grant of the coordinator."""
         self.answered_at = now
         self.incarnation = grant.incarnation
+        for workspace, wait_s in grant.waits.items():
+            self.waits[workspace] = (now, wait_s)
         if grant.report_sent_at == self.reported_at:
             for workspace, tokens in grant.tokens.items():
                 self.unmet[workspace] = self.unmet.get(workspace, 0) - tokens
@@ -106,6 +111,7 @@
             shard_view.chosen_at = now
             shard_view.reported_at = -math.inf
             shard_view.echo = None
+            shard_view.waits = {}
 
     def avoid(self, name: str, now: float) -> None:
         """Choose other coordinators than `name` for a while."""
--- a/packages/toucandeald/src/toucandeald/rate_wire.py
+++ b/packages/toucandeald/src/toucandeald/rate_wire.py
@@ -15,7 +15,7 @@
     `echo` is the `sent_at` of the last grant received from the coordinator's
     `echo_incarnation`; a report without an echo is no vote. `sent_at` is in
     the sender's clock. `wanted` and `returned` are numbers of tokens by
-    workspace.
+    workspace, and `waiting` the operations among `wanted` that wait already.
     """
 
     sender: str
@@ -27,6 +27,7 @@
     sent_at: float
     wanted: dict[str, int]
     returned: dict[str, int]
+    waiting: dict[str, int] = {}
 
 
 class RateGrant(msgspec.Struct, tag='y', array_like=True):
@@ -34,7 +35,9 @@
 
     `sent_at` is in the coordinator's clock, and `report_sent_at` the
     report's `sent_at`, from which the tokens are valid. A coordinator that is
-    draining sets `released` and no longer uses the recipient's votes.
+    draining sets `released` and no longer uses the recipient's votes. `waits`
+    are the times, in seconds by workspace, in which the bucket yields tokens
+    for all operations that wait.
     """
 
     sender: str
@@ -44,3 +47,4 @@
     report_sent_at: float
     tokens: dict[str, int]
     released: bool = False
+    waits: dict[str, float] = {}
