--- a/packages/toucandeald/src/toucandeald/peer_copies.py
+++ b/packages/toucandeald/src/toucandeald/peer_copies.py
@@ -140,9 +140,17 @@
         return CompressedConfiguration(name, self._compressed[1], position)
 
     def _reads_compressed(self, peer: str) -> bool:
+        """Return whether a peer's present process knows the message.
+
+        The record may still be of a later build that was rolled back.
+        """
         record = self._tables.primary_lease.registered.get(peer)
+        view = self._tables.peers.get(peer)
         return (
-            record is not None and record.protocol >= COMPRESSED_COPY_PROTOCOL
+            record is not None
+            and view is not None
+            and record.incarnation == view.incarnation
+            and record.protocol >= COMPRESSED_COPY_PROTOCOL
         )
 
     def _may_send_tables(self) -> bool:
--- a/packages/toucandeald/src/toucandeald/tests/test_held_configuration.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_held_configuration.py
@@ -116,6 +116,29 @@
     )
 
 
+def test_a_proxy_that_was_rolled_back_gets_copies_that_it_knows(fleet):
+    """Guards against a message that an earlier build cannot decode.
+
+    Its record is that of the later build until it has registered again.
+    """
+    fleet.kill('p7')
+    fleet.protocols['p7'] = 0
+    sent = []
+    deliver = fleet.send
+
+    def send(sender, address, message):
+        sent.append((address, type(message).__name__))
+        deliver(sender, address, message)
+
+    fleet.send = send
+    fleet.cut_from_store.add('p7')
+    fleet.add('p7', incarnation=2)
+    fleet.run(4.0)
+    kinds = {kind for address, kind in sent if address == 'p7:1'}
+    assert 'ConfigurationCopy' in kinds
+    assert 'CompressedConfiguration' not in kinds
+
+
 def test_after_a_loss_of_all_the_widest_links_carry_the_configuration(fleet):
     """Guards against a restart in which each narrow link carries the row."""
     names = list(fleet.proxies)
