Choose the schedule of configuration copies for outdated peers only

Each heartbeat of a peer computed the common version over all records, also where nothing had to be sent: 92 heartbeats a second with 24 proxies, more at a relay. The line at a process's start names its protocol, for mixed fleets.

--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -260,7 +260,7 @@
     call_every(HEARTBEAT_INTERVAL_S, parts.gossip.send_heartbeats)
     call_every(TICK_S, lambda: _tick(parts))
     call_every(MAINTENANCE_INTERVAL_S, lambda: _run_maintenance(parts))
-    log_event('started', **settings._asdict())
+    log_event('started', protocol=OWN_PROTOCOL, **settings._asdict())
     await pause(reactor, HTTP_DELAY_S)
     await _listen_for_http(reactor, settings, parts)
 
--- a/packages/toucandeald/src/toucandeald/peer_copies.py
+++ b/packages/toucandeald/src/toucandeald/peer_copies.py
@@ -87,13 +87,13 @@
             self._send(heartbeat.address, self.records_copy())
         if not self._may_send_tables():
             return
-        version = configuration_version(self._tables)
-        if self._is_due(
-            heartbeat,
-            'configuration',
-            self._configuration_schedule(heartbeat),
-            heartbeat.configuration_version < version,
-        ):
+        is_outdated = heartbeat.configuration_version < configuration_version(
+            self._tables
+        )
+        schedule = CONFIGURATION_SCHEDULE
+        if is_outdated:
+            schedule = self._configuration_schedule(heartbeat)
+        if self._is_due(heartbeat, 'configuration', schedule, is_outdated):
             self._send(
                 heartbeat.address, self._configuration_copy(heartbeat.sender)
             )
