Give the test of concurrent port draws a range of its own

Cause: two whole runs of the tests reached this test together. Its children drew 60 of 200 ports in a range in which both runs also hold locks, so 240 were asked for, and one child looked for a port for good (traced: one child waited for its parent, the other one ran without end, and the parent waited for its line).

The children draw 40 ports each of 200 that nothing else uses. Without the lock two of them would draw 8 ports in common in the mean, so a missing lock is still seen in all but 3 of 10,000 runs.

--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_process.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_process.py
@@ -7,12 +7,14 @@
 from toucandeal_standins import process
 
 # Allocates ports from a small range, so that two runs would collide without a
-# lock; prints them, and exits when its standard input closes.
+# lock; prints them, and exits when its standard input closes. The range is not
+# used otherwise and suffices for two test runs at once: with 60 ports each, of
+# a range in which whole test runs also hold ports, one waited for good.
 DRAW_PORTS_SCRIPT = """
 import json, sys
 from toucandeal_standins import process
-process.LAST_PORT = process.FIRST_PORT + 200
-print(json.dumps([process.free_port() for _ in range(60)]), flush=True)
+process.FIRST_PORT, process.LAST_PORT = 20_000, 20_200
+print(json.dumps([process.free_port() for _ in range(40)]), flush=True)
 sys.stdin.read()
 """
 
