Count waiting operations once a grant, and decide who reads early once

A coordinator counted the waiting operations of all reports anew for each workspace in each grant, which grows with workspaces times proxies when load is at its worst. Whether a proxy reads changes early was written twice, for the length of its polls and for the copies.

No behaviour changes.

--- a/packages/toucandeald/src/toucandeald/rate_coordinator.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordinator.py
@@ -224,14 +224,13 @@
     def _waits(self, shard: '_Shard') -> dict[str, float]:
         """Return the waits for tokens of the workspaces that lack them."""
         weight = vote_weight(shard.votes, shard.proxies)
+        waiting = shard.waiting()
         limits = {
             workspace: rate_limit(self._tables, workspace)
-            for workspace in shard.waiting
+            for workspace in waiting
         }
         return {
-            workspace: token_wait(
-                shard.waiting[workspace], limit.rate_per_s, weight
-            )
+            workspace: token_wait(waiting[workspace], limit.rate_per_s, weight)
             for workspace, limit in limits.items()
             if limit is not None
         }
@@ -295,7 +294,6 @@
             for count in report.wanted.values()
         )
 
-    @property
     def waiting(self) -> collections.Counter[str]:
         """Return how many operations wait for a token, by workspace."""
         counts: collections.Counter[str] = collections.Counter()
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -326,20 +326,21 @@
     @property
     def receives_copies(self) -> bool:
         """Return whether other proxies read changes and send copies of them."""
-        lease = self._tables.primary_lease
-        assignment = self._tables.relay_assignment
-        is_reader = (
-            self.rank() < SHORT_WAIT_PROXIES
-            if assignment is None
-            else assignment.is_relay(self._own.name)
-        )
+        registered = self._tables.primary_lease.registered
         return (
             self.configuration.uses_copies
-            and not is_reader
-            and common_protocol(lease.registered.values())
-            >= COMPRESSED_COPY_PROTOCOL
+            and not self._uses_short_wait
+            and common_protocol(registered.values()) >= COMPRESSED_COPY_PROTOCOL
         )
 
+    @property
+    def _uses_short_wait(self) -> bool:
+        """Return whether this proxy reads changes early, for others as well."""
+        assignment = self._tables.relay_assignment
+        if assignment is None:
+            return self.rank() < SHORT_WAIT_PROXIES
+        return assignment.is_relay(self._own.name)
+
     async def _follow_servers(self) -> None:
         await self._follow(
             self._shared.server_table,
@@ -430,13 +431,7 @@
         return await self._read_changes(table, version, apply, wait_s)
 
     def _wait_s(self, table: str) -> float:
-        assignment = self._tables.relay_assignment
-        uses_short_wait = (
-            self.rank() < SHORT_WAIT_PROXIES
-            if assignment is None
-            else assignment.is_relay(self._own.name)
-        )
-        if not uses_short_wait:
+        if not self._uses_short_wait:
             return RELAYED_FEED_WAIT_S
         if table == self._shared.configuration_table:
             return self.configuration_wait_s
