Answer each statement that is under way when a proxy stops

What callers saw: after SIGTERM, statements of open transactions were forwarded until 1 s before the kill. All connections were then closed at once, also those whose statement was at a server.

Cause: FleetShutdown never ended open transactions, its margin did not depend on the grace period, and it closed connections without replying.

Ruled out: lost answers of the servers.

Change: in the second half of the grace period statements are refused with the guarantee that nothing was kept, and transactions are rolled back. Answers that are due are awaited until the last sixth of the grace period, at most 1 s before its end. The remaining ones end as lost answers, in doubt or aborted, before the connections are closed. Lenders treat borrowers' statements alike. A borrowed connection returned None if its answer came while the request was being sent; the test of lenders found that.

--- a/packages/toucandeald/src/toucandeald/admission.py
+++ b/packages/toucandeald/src/toucandeald/admission.py
@@ -17,12 +17,19 @@
 from toucandeald.replies import DEFAULT_RETRY_AFTER_S, reply
 from toucandeald.session_messages import CallerReply, ReplyKind
 
-__all__ = ['Admission', 'KEY_CHANGED', 'holds_workspace', 'starts_operation']
+__all__ = [
+    'Admission',
+    'KEY_CHANGED',
+    'STOPPING',
+    'holds_workspace',
+    'starts_operation',
+]
 
 KEY_REMOVED = 'the key was removed; the statement had no effect'
 KEY_CHANGED = 'the key has changed while the statement waited; nothing has run'
 KEY_MOVED = 'the key was moved to another workspace'
 NOT_FRESH = 'it is not known whether the key is still valid; nothing has run'
+STOPPING = 'this proxy is about to stop; nothing has run'
 NO_EFFECT_KINDS = {ReplyKind.REFUSED, ReplyKind.ABORTED}
 ENDING_STATEMENTS = {Verb.COMMIT, Verb.ROLLBACK}
 OPERATION_STATEMENTS = {
@@ -49,6 +56,7 @@
 
     `begin_operation` is awaited at the start of each operation, and returns
     the reply that refuses it or None. The composition root may replace it.
+    With `stopping` set, all statements are refused that need a server.
     """
 
     def __init__(
@@ -61,6 +69,7 @@
         self.begin_operation: Callable[
             [CallerSession, Statement, float], Awaitable[CallerReply | None]
         ] = _unlimited
+        self.stopping = False
         self._tables = tables
         self._transactions = transactions
         self._limit_s = revocation_limit_s
@@ -120,6 +129,8 @@
             return reply(
                 session, ReplyKind.ABORTED, KEY_MOVED, DEFAULT_RETRY_AFTER_S
             )._replace(cause='key moved')
+        if self.stopping:
+            return self._refuse_stopping(session, statement)
         if self._is_certain(workspace, now):
             return None
         self._roll_back(session, statement, NOT_FRESH)
@@ -174,6 +185,15 @@
             cause='key removed'
         )
 
+    def _refuse_stopping(
+        self, session: CallerSession, statement: Statement
+    ) -> CallerReply:
+        kind = ReplyKind.REFUSED
+        if session.state == 'open':
+            self._roll_back(session, statement, STOPPING)
+            kind = ReplyKind.ABORTED
+        return reply(session, kind, STOPPING, DEFAULT_RETRY_AFTER_S)
+
     def _refuse_uncertain(
         self, session: CallerSession, now: float
     ) -> CallerReply:
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -107,7 +107,8 @@
         if not self.usable or self.busy:
             return defer.succeed(lost('the connection is closed'))
         self._sequence += 1
-        self._answer = defer.Deferred()
+        answer: defer.Deferred = defer.Deferred()
+        self._answer = answer
         self._timer = self._clock.callLater(
             max(timeout_s, 0) + PEER_ROUND_TRIP_S,
             self.abort,
@@ -125,7 +126,7 @@
                 content,
             )
         )
-        return self._answer
+        return answer
 
     def answered(self, message: BorrowedAnswer) -> None:
         """Complete the outstanding request if the answer belongs to it."""
--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -258,8 +258,16 @@
 
     def end(self, session: CallerSession, reason: str) -> None:
         """End a session's transaction, and roll it back if it is open."""
-        transaction = session.transaction
+        self.roll_back(session, reason)
         session.transaction = None
+
+    def roll_back(self, session: CallerSession, reason: str) -> None:
+        """Roll a transaction back at its server, if it has begun there.
+
+        The session keeps the transaction, so the reply to the next statement
+        must report it as rolled back.
+        """
+        transaction = session.transaction
         if transaction is not None and transaction.connection is not None:
             log_event(
                 'transaction',
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -163,6 +163,7 @@
         gossip,
         service,
         lending,
+        pools,
         settings.stop_timeout_s,
     )
     lifecycle_state = LifecycleState(shutdown.begin, reactor.stop)
--- a/packages/toucandeald/src/toucandeald/fleet_shutdown.py
+++ b/packages/toucandeald/src/toucandeald/fleet_shutdown.py
@@ -1,8 +1,10 @@
 """Graceful shutdown of a proxy with open sessions.
 
 The load balancer first gets time to route new callers elsewhere. Then each
-session is closed as soon as it is between transactions. The remaining ones
-are closed shortly before the process would be killed.
+session is closed as soon as it is between transactions. Transactions have the
+first half of the time-out to end; their later statements are refused at once.
+A statement that was sent to a server is answered when the server has answered,
+or when the process is about to be killed.
 """
 
 from twisted.internet import defer
@@ -12,6 +14,7 @@
 from toucandeald.lending import Lending
 from toucandeald.logs import log_event
 from toucandeald.periodic_calls import call_every
+from toucandeald.server_pools import ServerPools
 from toucandeald.session_service import SessionService
 from toucandeald.session_shedding import BALANCER_NOTICE_S
 from toucandeald.shared_state import SharedState
@@ -22,6 +25,9 @@
 # Before the process would be killed. With 0.7 s, an unanswered deregistration
 # and the exit of the process left 0.1 s, which a busy machine used up.
 MARGIN_S = 1.0
+# Of the time-out, before the process would be killed. Until then a server may
+# take for an answer that is due, also where this is less than MARGIN_S.
+ANSWER_MARGIN_SHARE = 1 / 6
 DEREGISTER_TIMEOUT_S = 0.3  # within MARGIN_S; peers also note the silence
 CHECK_INTERVAL_S = 0.05
 
@@ -37,6 +43,7 @@
         gossip: Gossip,
         service: SessionService,
         lending: Lending,
+        pools: ServerPools,
         timeout_s: float,
     ) -> None:
         """Initialize with the components to shut down."""
@@ -48,10 +55,15 @@
         self._gossip = gossip
         self._service = service
         self._lending = lending
+        self._pools = pools
         self.timeout_s = timeout_s
         self._began_at = 0.0
         self._deregistering = False
 
+    @property
+    def _answer_margin_s(self) -> float:
+        return min(MARGIN_S, self.timeout_s * ANSWER_MARGIN_SHARE)
+
     def begin(self) -> None:
         """Stop taking part in promotions and wait for the sessions to end."""
         self._began_at = steady_seconds()
@@ -63,22 +75,27 @@
     def _check(self) -> None:
         if self._deregistering:
             return
-        service = self._service
         elapsed_s = steady_seconds() - self._began_at
-        overdue = elapsed_s >= self.timeout_s - MARGIN_S
         if elapsed_s >= min(BALANCER_NOTICE_S, self.timeout_s / 2):
             self._close_idle()
+        if elapsed_s >= self.timeout_s / 2:
+            self._refuse_work()
+        remaining_s = self.timeout_s - elapsed_s
+        if self._has_ended(remaining_s):
+            self._deregister()
+        elif remaining_s <= self._answer_margin_s:
+            # The next check finds that the refusals have been delivered.
+            self._pools.stop()
+
+    def _has_ended(self, remaining_s: float) -> bool:
+        """Return whether no answer is due any more, or none can be awaited."""
+        service = self._service
+        if self._pools.stopped:
+            return True
+        if remaining_s <= MARGIN_S:
+            return not (service.answers_due or self._lending.answers_due)
         in_use = service.connections or self._lending.count
-        if overdue or (service.closing_idle and not in_use):
-            self._deregistering = True
-            log_event('drained', sessions=len(service.sessions))
-            # No work may run after this proxy is deregistered.
-            for connection in tuple(service.connections):
-                connection.close()
-            deregistering = defer.ensureDeferred(self._state.deregister())
-            deregistering.addTimeout(DEREGISTER_TIMEOUT_S, self._reactor)
-            deregistering.addErrback(_log_not_deregistered)
-            deregistering.addCallback(lambda _: self.lifecycle.drained())
+        return service.closing_idle and not in_use
 
     def _close_idle(self) -> None:
         service = self._service
@@ -87,6 +104,29 @@
             self.listening.stopListening()
         service.close_idle_sessions()
 
+    def _refuse_work(self) -> None:
+        if self._service.accepts_work:
+            log_event('work refused', sessions=len(self._service.sessions))
+            self._service.refuse_work()
+            self._lending.accepts_work = False
+
+    def _deregister(self) -> None:
+        self._deregistering = True
+        service = self._service
+        log_event(
+            'drained',
+            sessions=len(service.sessions),
+            answers_due=service.answers_due,
+        )
+        # No work may run after this proxy is deregistered.
+        self._pools.stop()
+        for connection in tuple(service.connections):
+            connection.stop()
+        deregistering = defer.ensureDeferred(self._state.deregister())
+        deregistering.addTimeout(DEREGISTER_TIMEOUT_S, self._reactor)
+        deregistering.addErrback(_log_not_deregistered)
+        deregistering.addCallback(lambda _: self.lifecycle.drained())
+
 
 def _log_not_deregistered(failure) -> None:
     log_event('deregistration failed', reason=failure.getErrorMessage())
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -24,8 +24,9 @@
     encode_answer,
 )
 from toucandeald.logs import log_event
+from toucandeald.replies import withheld
 from toucandeald.server_pools import ServerPools
-from toucandeald.session_messages import AnswerKind, ServerAnswer
+from toucandeald.session_messages import AnswerKind, RollBack, ServerAnswer
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = ['Lending']
@@ -60,6 +61,7 @@
         self._pools = pools
         self._gossip = gossip
         self._name = own.name
+        self.accepts_work = True
         self._loans: dict[LoanKey, Loan] = {}
         self._pending: set[LoanKey] = set()
 
@@ -68,6 +70,11 @@
         """Return the number of loans."""
         return len(self._loans)
 
+    @property
+    def answers_due(self) -> int:
+        """Return the number of loans with an outstanding request."""
+        return sum(loan.connection.busy for loan in self._loans.values())
+
     def received(
         self, message: LoanRequest | BorrowedRequest | LoanReturn
     ) -> None:
@@ -102,7 +109,8 @@
     async def _lend(self, key: LoanKey, loan_request: LoanRequest) -> None:
         server = self._tables.servers.get(loan_request.server)
         connection = None
-        if server is not None and may_lend(self._pools.pool(server)):
+        lends = self.accepts_work and server is not None
+        if lends and may_lend(self._pools.pool(server)):
             connection = await self._pools.pool(server).acquire(
                 {}, [], _connection_request(loan_request)
             )
@@ -146,9 +154,12 @@
             idle_since=steady_seconds() + forwarded.timeout_s
         )
         request = decode_request(forwarded.kind, forwarded.request)
-        answer = await self._pools.call(
-            loan.server, loan.connection, request, forwarded.timeout_s
-        )
+        if self.accepts_work or isinstance(request, RollBack):
+            answer = await self._pools.call(
+                loan.server, loan.connection, request, forwarded.timeout_s
+            )
+        else:
+            answer = withheld('the lender is about to stop')
         _record_setup_step(loan.connection, request, answer)
         if key in self._loans:
             self._loans[key] = loan._replace(idle_since=steady_seconds())
--- a/packages/toucandeald/src/toucandeald/placement_waits.py
+++ b/packages/toucandeald/src/toucandeald/placement_waits.py
@@ -62,8 +62,10 @@
 
 def is_wanted(context: ForwardingContext, call: StatementCall) -> bool:
     """Return whether the caller waits for the answer and may receive it."""
-    return not call.session.ended and holds_workspace(
-        context.tables, call.session
+    return (
+        not context.pools.stopped
+        and not call.session.ended
+        and holds_workspace(context.tables, call.session)
     )
 
 
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -62,6 +62,7 @@
     ) -> None:
         """Initialize with the tables and the sources of connections."""
         self.on_suspicion = _log_ignored
+        self.stopped = False
         self._clock = clock
         self._tables = tables
         self._open_connection = open_connection
@@ -151,6 +152,8 @@
         connection_request: ConnectionRequest,
     ):
         """Return a connection in the session's state, or None."""
+        if self.stopped:
+            return None
         load = server_load(self._tables, server.name)
         pool = self.pool(server)
         load.waiting += 1
@@ -268,6 +271,18 @@
             for connection in pool.connections:
                 pool.discard(connection)
 
+    def stop(self) -> None:
+        """Close all connections, and let no more statements have one.
+
+        Outstanding requests end with a lost answer at once, which is no
+        evidence about the servers.
+        """
+        self.stopped = True
+        for pool in self._pools.values():
+            pool.close()
+            for connection in pool.connections:
+                pool.discard(connection)
+
     async def _open(
         self,
         server: Server,
@@ -352,7 +367,8 @@
     ) -> None:
         load = server_load(self._tables, server.name)
         if answer.kind is AnswerKind.LOST:
-            self.on_suspicion(server, answer.reason)
+            if not self.stopped:
+                self.on_suspicion(server, answer.reason)
             return
         load.unreachable_since = None
         load.heard_at = now
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -15,7 +15,7 @@
 from toucandeal.fleet import Statement, Verb
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.workspaces import key_digest
-from toucandeald.admission import Admission
+from toucandeald.admission import STOPPING, Admission
 from toucandeald.forwarding import Forwarding
 from toucandeald.logs import log_event
 from toucandeald.prometheus_metrics import PrometheusMetrics
@@ -57,6 +57,16 @@
         self._metrics = metrics
         self._identities = itertools.count(1)
 
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether statements may run that arrive now."""
+        return not self._admission.stopping
+
+    @property
+    def answers_due(self) -> int:
+        """Return the number of sessions whose statement is running."""
+        return sum(session.busy for session in self.sessions.values())
+
     def connected(self, connection) -> None:
         """Register a caller's connection."""
         self.connections.add(connection)
@@ -99,6 +109,17 @@
             if connection.idle and _is_outside_transaction(connection.session):
                 connection.close()
 
+    def refuse_work(self) -> None:
+        """Refuse all statements that arrive from now on.
+
+        Open transactions without a running statement are rolled back at their
+        servers. Their callers learn it with the reply to the next statement.
+        """
+        self._admission.stopping = True
+        for session in self.sessions.values():
+            if not session.busy:
+                self._forwarding.transactions.roll_back(session, STOPPING)
+
     async def wait_until_configured(self) -> None:
         """Wait for the first configuration, for a limited time.
 
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -171,6 +171,23 @@
     assert results == [DONE] and connection.usable
 
 
+def test_a_lender_about_to_stop_lets_borrowers_only_roll_back(pair):
+    # Guards against statements of borrowers that a stop cut off at a server.
+    connection = pair.borrow_connection()
+    results = []
+    pair.lending.accepts_work = False
+    connection.call(BeginTransaction(read_only=True), 1.0).addCallback(
+        results.append
+    )
+    assert results[0].kind is AnswerKind.WITHHELD and connection.usable
+    assert not pair.connections[0].requests
+    connection.call(RollBack(), 1.0).addCallback(results.append)
+    pair.connections[0].pending[0].callback(DONE)
+    assert results[1] == DONE
+    connection.return_to_lender()
+    assert pair.start_loan()[0].kind is AnswerKind.NO_CONNECTION
+
+
 def test_returned_connection_is_lent_again(pair):
     connection = pair.borrow_connection()
     connection.return_to_lender()
--- a/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
@@ -35,6 +35,7 @@
     """Pools whose only connection becomes free when the test says so."""
 
     def __init__(self):
+        self.stopped = False
         self.waiting = []
         self.released = []
         self.sent = []
