Roll back open transactions at half of the stop time-out

Change: from half of the time-out on, transactions that run no statement are rolled back; their next statement gets the error for a transaction that is not open. So in the second half only requests with deadlines of their own remain. One that is in flight at the time-out itself still gets no reply.

Before: test_open_transactions_end_at_half_of_the_timeout[False-16] failed, since the drain took 30 s instead of 16. After: it passes, with the tests of packages/toucandeal.

--- a/packages/toucandeal/src/toucandeal/transactions.py
+++ b/packages/toucandeal/src/toucandeal/transactions.py
@@ -6,6 +6,8 @@
 repeated transaction finds it there and returns the recorded outcome.
 """
 
+import math
+
 from toucandeal.actions import DropTransaction, Execute
 from toucandeal.answers import finish, requeue_or_refuse
 from toucandeal.entities import Operation, Phase, Request, Transaction
@@ -21,6 +23,7 @@
     'find_transaction',
     'operation_answered',
     'roll_back_idle',
+    'roll_back_open',
     'start_operation',
 ]
 
@@ -203,10 +206,19 @@
 def roll_back_idle(frame: Frame) -> None:
     """Roll back transactions that have exceeded the idle timeout."""
     cutoff = frame.now - frame.tables.policies.idle_transaction_s
-    idle = [
+    _roll_back_unused_since(frame, cutoff, 'idle for too long')
+
+
+def roll_back_open(frame: Frame) -> None:
+    """Roll back the transactions that are not running a statement."""
+    _roll_back_unused_since(frame, math.inf, 'the proxy is about to stop')
+
+
+def _roll_back_unused_since(frame: Frame, cutoff: float, reason: str) -> None:
+    unused = [
         transaction.identity
         for transaction in frame.tables.transactions.values()
         if not transaction.busy and transaction.used_at < cutoff
     ]
-    for identity in idle:
-        drop_transaction(frame, identity, 'idle for too long')
+    for identity in unused:
+        drop_transaction(frame, identity, reason)
--- a/packages/toucandeald/src/toucandeald/shutdown.py
+++ b/packages/toucandeald/src/toucandeald/shutdown.py
@@ -1,5 +1,6 @@
 """Graceful shutdown: requests in flight are completed."""
 
+from toucandeal.transactions import roll_back_open
 from toucandeald.logs import log_event
 from toucandeald.membership_sync import MembershipSync
 from toucandeald.periodic_calls import call_every
@@ -18,8 +19,9 @@
     """Waits for the work in flight, then ends the process.
 
     Requests that still arrive are served, and their connections are closed
-    after the reply. The process ends once nothing has been in flight for
-    `DRAIN_GRACE_S`, or at the timeout.
+    after the reply. Transactions that are open at half of the timeout are
+    rolled back, unless a statement is running. The process ends once nothing
+    has been in flight for `DRAIN_GRACE_S`, or at the timeout.
     """
 
     def __init__(
@@ -53,6 +55,8 @@
     def _check(self) -> None:
         now = self._reactor.seconds()
         tables = self._runtime.tables
+        if tables.transactions and now - self._began_at >= self._timeout_s / 2:
+            self._runtime.process(roll_back_open)
         busy = (
             self._runtime.in_flight
             or tables.transactions
