Consider leaving servers in promotions, as confirmations do

Cause: is_confirmed counts a leaving server's position as evidence for an acknowledgement, but replicas_of left such servers out, so a promotion did not ask them.

Ruled out: excluding leaving servers from the evidence. Commits that a server confirmed before it announced its end are lost just the same.

Change: one set of servers for both. The most advanced one takes over; one that stays precedes one that leaves at the same position. A planned promotion still needs a server that stays and has caught up, as long as the primary answers. A leaving server that took over is then replaced as planned.

--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from toucandeal.fleet import GroupRecord, Server
@@ -59,14 +60,16 @@
 
 
 def replicas_of(tables: FleetTables, record: GroupRecord) -> list[Server]:
-    """Return the servers that may be promoted, sorted by name."""
+    """Return the servers that receive the primary's log, sorted by name.
+
+    Those that are leaving receive it until they end. Their positions confirm
+    writes, so a promotion has to consider them as well.
+    """
     return sorted(
         (
             server
             for server in tables.servers.values()
-            if server.group == record.group
-            and server.name != record.primary
-            and not server.leaving
+            if server.group == record.group and server.name != record.primary
         ),
         key=lambda server: server.name,
     )
@@ -91,11 +94,12 @@
     record = group.record
     if record is None or record.changing or tables.draining:
         return None
-    if not replicas_of(tables, record):
+    replicas = replicas_of(tables, record)
+    if not replicas:
         return None
     primary = tables.servers.get(record.primary)
     load = server_load(tables, record.primary)
-    if primary is not None and primary.leaving:
+    if _is_to_be_replaced(primary, replicas):
         return Trigger('the primary is leaving', planned=True)
     if primary is None and not missing_is_gone:
         return None
@@ -119,6 +123,12 @@
     return Trigger('the primary gives no answer', planned=False)
 
 
+def _is_to_be_replaced(primary: Server | None, replicas: list[Server]) -> bool:
+    """Return whether a primary leaves and another server stays."""
+    stays = any(not server.leaving for server in replicas)
+    return primary is not None and primary.leaving and stays
+
+
 def promotion_delay_s(tables: FleetTables, group: str, now: float) -> float:
     """Return the delay, in seconds, before this proxy starts a promotion.
 
@@ -155,9 +165,19 @@
     return 2 * RELAYED_STAGGER_S + rest_s * rank / live
 
 
-def best_replica(reports: dict[str, ServerReport]) -> str | None:
+def best_replica(
+    reports: Mapping[str, ServerReport],
+    leaving: Collection[str] = (),
+) -> str | None:
     """Return the server that has received the highest log position.
 
+    Parameters
+    ----------
+    reports : mapping of str to ServerReport
+        By server.
+    leaving : collection of str
+        Servers that others with the same position precede.
+
     Examples
     --------
     >>> best_replica({
@@ -165,8 +185,17 @@
     ...     'c': ServerReport(False, 3, LogPosition(3, 7)),
     ... })
     'b'
+    >>> best_replica({
+    ...     'b': ServerReport(False, 3, LogPosition(3, 9)),
+    ...     'c': ServerReport(False, 3, LogPosition(3, 9)),
+    ... }, leaving={'b'})
+    'c'
     """
-    return max(reports, key=lambda name: reports[name].received, default=None)
+    return max(
+        reports,
+        key=lambda name: (reports[name].received, name not in leaving),
+        default=None,
+    )
 
 
 def is_unverified(record: GroupRecord) -> bool:
--- a/packages/toucandeal/src/toucandeal/tests/test_promotion.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_promotion.py
@@ -89,6 +89,19 @@
     assert promotion_trigger(alone, 'g', NOW) is None
 
 
+def test_a_leaving_server_may_succeed_a_primary_only_if_that_one_is_gone():
+    # Guards against a group without a primary while the only server that has
+    # its data is leaving.
+    tables = new_tables()
+    for name in 'bc':
+        tables.servers[name] = tables.servers[name]._replace(leaving=True)
+    _unreachable(tables)
+    assert not promotion_trigger(tables, 'g', NOW).planned
+    tables.loads.clear()
+    tables.servers['a'] = tables.servers['a']._replace(leaving=True)
+    assert promotion_trigger(tables, 'g', NOW) is None
+
+
 def test_proxies_start_promotions_with_different_delays():
     tables = new_tables()
     tables.peers['p2'] = _peer('p2')
--- a/packages/toucandeald/src/toucandeald/promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/promotion_choice.py
@@ -85,17 +85,16 @@
         began_at = steady_seconds()
         timeout_s = CATCH_UP_TIMEOUT_S if planned else REPORTS_TIMEOUT_S
         while True:
-            replicas = replicas_of(self._tables, record)
-            reports = await self._reports.gather(replicas)
+            candidates, reports, primary = await self._gather(
+                record, planned=planned
+            )
             timed_out = steady_seconds() - began_at >= timeout_s
-            primary = None
-            if planned:
-                primary = await self._primary_report(record)
-            best = best_replica(reports)
+            leaving = {each.name for each in candidates if each.leaving}
+            best = best_replica(reports, leaving)
             caught_up = primary is None or (
                 best is not None and reports[best].received >= primary.received
             )
-            complete = len(reports) == len(replicas)
+            complete = len(reports) == len(candidates)
             if best is not None and caught_up and (complete or timed_out):
                 break
             if timed_out:
@@ -113,10 +112,31 @@
             step='chosen',
             server=best,
             received=reports[best].received,
+            leaving=best in leaving,
             term=term,
         )
         return self._tables.servers.get(best), term
 
+    async def _gather(
+        self, record: GroupRecord, *, planned: bool
+    ) -> tuple[list[Server], dict[str, ServerReport], ServerReport | None]:
+        """Return the candidates, their reports and the primary's report.
+
+        If a primary that is to be replaced as planned answers, a server that
+        stays has to catch up with it. Otherwise any server may be the only one
+        that has the last acknowledged commits, also one that is leaving.
+        """
+        replicas = replicas_of(self._tables, record)
+        if planned:
+            staying = [server for server in replicas if not server.leaving]
+            # The primary is asked after the replicas: a commit in between
+            # counts as not received.
+            reports = await self._reports.gather(staying)
+            primary = await self._primary_report(record)
+            if primary is not None:
+                return staying, reports, primary
+        return replicas, await self._reports.gather(replicas), None
+
     async def _primary_report(self, record: GroupRecord) -> ServerReport | None:
         primary = self._tables.servers.get(record.primary)
         if primary is None:
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
@@ -0,0 +1,92 @@
+"""The choice of the server that takes over from a primary."""
+
+import pytest
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from toucandeal.fleet import GroupRecord
+from toucandeal.positions import LogPosition
+from toucandeal.promotion import ServerReport
+from toucandeal.tests.sample_tables import NOW, new_tables
+from toucandeald.promotion_choice import REPORTS_TIMEOUT_S, PromotionChoice
+from toucandeald.session_messages import lost
+from toucandeald.steady_clock import virtual_time
+
+STEP_S = 0.05
+
+
+class Watch:
+    """Has seen no server step down."""
+
+    def __init__(self):
+        self.stepped_down = {}
+
+
+class Reports:
+    """Answers with the log positions that the test has set."""
+
+    def __init__(self, received):
+        self.received = received
+        self.steps = []
+
+    async def gather(self, servers):
+        """Return the reports of the servers that answer."""
+        return {
+            server.name: ServerReport(
+                server.name == 'a', 3, LogPosition(3, index)
+            )
+            for server in servers
+            if (index := self.received.get(server.name)) is not None
+        }
+
+    async def send_request(self, server, request):
+        """Record that a server is asked to step down."""
+        self.steps.append((server.name, request))
+        return lost('no answer')
+
+
+def choose(received, leaving, *, planned=False):
+    """Return the name of the server that is chosen, or None."""
+    clock = Clock()
+    clock.advance(NOW)
+    tables = new_tables()
+    for name in leaving:
+        tables.servers[name] = tables.servers[name]._replace(leaving=True)
+    choice = PromotionChoice(clock, tables, Watch(), Reports(received))
+    record = GroupRecord('g', 'a', 3, changing=True, planned=planned)
+    outcomes = []
+    with virtual_time(clock.seconds):
+        defer.ensureDeferred(
+            choice.choose_replica(record, planned=planned)
+        ).addBoth(outcomes.append)
+        while not outcomes and clock.seconds() < NOW + 3 * REPORTS_TIMEOUT_S:
+            clock.advance(STEP_S)
+    chosen, _ = outcomes[0]
+    return None if chosen is None else chosen.name
+
+
+@pytest.mark.parametrize(
+    ('received', 'leaving', 'chosen'),
+    [
+        ({'b': 9, 'c': 5}, 'b', 'b'),
+        ({'b': 9, 'c': 9}, 'b', 'c'),
+        ({'b': 5, 'c': 9}, 'b', 'c'),
+        ({'b': 9, 'c': 5}, 'bc', 'b'),
+        ({'c': 5}, 'b', 'c'),
+    ],
+)
+def test_a_leaving_server_with_the_last_commits_takes_over(
+    received, leaving, chosen
+):
+    # Guards against the loss of commits that were acknowledged because a
+    # server had received them that is leaving since then.
+    assert choose(received, leaving) == chosen
+
+
+def test_a_leaving_primary_that_dies_does_not_lose_its_last_commits():
+    # Guards against the same loss in a promotion that began as planned.
+    assert choose({'b': 9, 'c': 5}, 'ab', planned=True) == 'b'
+
+
+def test_a_planned_promotion_leaves_no_server_for_one_that_is_leaving():
+    assert choose({'a': 9, 'b': 9, 'c': 5}, 'ab', planned=True) is None
