Send no operations to a server past its drain time

Cause: only reads at replicas looked at the state of a server. The drain time of the settings was not read.

Change: the list of servers notes when a server began to leave. From half a second before drainMs is over, no single statement and no transaction is placed there; statements of transactions that it has begun still go there. Operations wait for the next promotion as they do for a primary that gives no answer.

Before: test_no_operation_goes_to_a_primary_past_its_drain_time failed (the write was placed at 'a'). After: it passes, with the tests of packages/toucandeal and packages/toucandeald.

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -24,6 +24,7 @@
     'apply_record',
     'configuration_version',
     'group_state',
+    'accepts_operations',
     'is_confirmed',
     'record_position',
     'required_in_current_term',
@@ -33,6 +34,7 @@
 
 INITIAL_LATENCY_S = 0.01  # assumed until the first measurement
 LATENCY_WEIGHT = 0.2  # of a new measurement in the moving average
+DRAIN_MARGIN_S = 0.5  # for the way to the server and from the store
 ROUND_TRIP_WINDOW_S = 10  # in which the least round trip is sought
 
 
@@ -161,7 +163,9 @@
     `relay_assignment` is None while all proxies exchange heartbeats. Without
     `crossing_cost_s`, a constant factor decides which reads leave the failure
     domain. `replaces_registered` is whether an earlier process of this name
-    was registered, and not silent, when this one started.
+    was registered, and not silent, when this one started. A server that is
+    leaving may get operations for `drain_s`; `leaving_since` has the time at
+    which this proxy learned of it, by server.
     """
 
     def __init__(self, name: str, failure_domain: str) -> None:
@@ -179,6 +183,8 @@
         self.replaces_registered = False
         self.relay_assignment: RelayAssignment | None = None
         self.crossing_cost_s: float | None = None
+        self.drain_s = math.inf
+        self.leaving_since: dict[str, float] = {}
 
 
 def group_state(tables: FleetTables, name: str) -> GroupState:
@@ -239,6 +245,15 @@
     return begun or update.primary != current.primary
 
 
+def accepts_operations(tables: FleetTables, name: str, now: float) -> bool:
+    """Return whether a server has not been leaving for too long.
+
+    After the drain time it may end at any moment.
+    """
+    since = tables.leaving_since.get(name, math.inf)
+    return now < since + tables.drain_s - DRAIN_MARGIN_S
+
+
 def usable_primary(tables: FleetTables, name: str, now: float) -> Server | None:
     """Return the primary that the lease allows to use now, or None."""
     current = group_state(tables, name).record
--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -20,6 +20,7 @@
 from toucandeal.fleet import Route, RouteKind, Server
 from toucandeal.fleet_tables import (
     FleetTables,
+    accepts_operations,
     group_state,
     required_in_current_term,
     server_load,
@@ -121,6 +122,12 @@
     group = group_state(tables, route.group)
     if primary is None:
         return _refuse_without_primary(tables, group, now)
+    if not accepts_operations(tables, primary.name, now):
+        return Refusal(
+            'the primary is leaving, and no other server has caught up',
+            UNAVAILABLE_RETRY_S,
+            wait=Wait.TIMEOUT,
+        )
     load = server_load(tables, primary.name)
     if now < load.avoided_until:
         # A server that only lacks connections serves those of other proxies.
@@ -270,7 +277,7 @@
     if now < load.avoided_until:
         return False
     if server is primary:
-        return True
+        return accepts_operations(tables, server.name, now)
     record = group_state(tables, server.group).record
     if server.leaving or requirement is None or record is None:
         return False
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -59,6 +59,17 @@
     assert refusal.reason == 'a promotion is under way'
 
 
+def test_no_operation_goes_to_a_primary_past_its_drain_time():
+    # Guards against requests at a leaving server that may end at any moment.
+    tables = new_tables()
+    tables.drain_s = 7.0
+    tables.leaving_since['a'] = NOW - 6
+    assert place_write(tables, new_route(), NOW).server.name == 'a'
+    tables.leaving_since['a'] = NOW - 7
+    assert isinstance(place_write(tables, new_route(), NOW), Refusal)
+    assert isinstance(_read(tables), Refusal)
+
+
 def test_a_read_without_a_sample_goes_to_the_primary():
     assert _read(new_tables()).server.name == 'a'
 
--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -1,5 +1,6 @@
 """Settings of a proxy that serves interactive sessions."""
 
+import math
 from typing import NamedTuple
 
 from toucandeal.errors import BadSetting
@@ -67,6 +68,8 @@
         additional wait. None keeps the fixed preference for the own domain.
     link_mbps : float or None
         Bandwidth of the machine's link; None if it is not known.
+    drain_s : float
+        How long a server that is leaving may get operations.
     """
 
     name: str
@@ -81,3 +84,4 @@
     rate_bounds: RateBounds = RateBounds()
     crossing_cost_s: float | None = None
     link_mbps: float | None = None
+    drain_s: float = math.inf
--- a/packages/toucandeald/src/toucandeald/placement_waits.py
+++ b/packages/toucandeald/src/toucandeald/placement_waits.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from toucandeal.fleet_tables import accepts_operations
 from toucandeal.placement import Placement, Refusal, useful_wait_s
 from toucandeald.admission import KEY_CHANGED, holds_workspace
 from toucandeald.forwarding_context import ForwardingContext
@@ -112,6 +113,9 @@
 
     The primary, the key or the caller may have changed while it waited.
     """
+    name = placement.server.name
+    if not accepts_operations(context.tables, name, steady_seconds()):
+        return 'the server has been leaving for too long'
     if not context.validation.is_current(placement):
         return 'the primary may have changed'
     if not holds_workspace(context.tables, call.session):
--- a/packages/toucandeald/src/toucandeald/server_list.py
+++ b/packages/toucandeald/src/toucandeald/server_list.py
@@ -50,6 +50,7 @@
             if now - removed_at >= REMOVAL_DELAY_S:
                 self._removed_at.pop(name)
                 self._tables.servers.pop(name, None)
+                self._tables.leaving_since.pop(name, None)
                 log_event('server gone', server=name)
         for held in list(self._held.values()):
             if now >= held.until:
@@ -112,6 +113,10 @@
             # A restarted server holds no earlier data: discard observations.
             self._tables.loads.pop(server.name, None)
         server_load(self._tables, server.name)
+        if server.leaving:
+            self._tables.leaving_since.setdefault(server.name, steady_seconds())
+        else:
+            self._tables.leaving_since.pop(server.name, None)
         if server != known:
             log_event('server', **server._asdict())
 
--- a/packages/toucandeald/src/toucandeald/tests/test_server_list.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_list.py
@@ -4,7 +4,7 @@
 from twisted.internet.task import Clock
 
 from toucandeal.fleet import Server
-from toucandeal.fleet_tables import FleetTables
+from toucandeal.fleet_tables import FleetTables, accepts_operations
 from toucandeal.store_versions import StoreVersion
 from toucandeald.server_list import (
     OUTDATED_ENTRY_S,
@@ -120,3 +120,16 @@
     servers.apply_changes([_row('b', 2, 4)])
     servers.tick(clock.seconds() + 2 * REMOVAL_DELAY_S)
     assert _listed(servers) == ['a', 'b']
+
+
+def test_a_server_gets_no_operations_after_its_drain_time(servers, clock):
+    # Guards against work at a leaving primary that no other server can replace.
+    tables = servers._tables
+    tables.drain_s = 7.0
+    servers.apply_changes([_row('a', 1, 10, b'leaving')])
+    clock.advance(5)
+    servers.apply_changes([_row('a', 1, 11, b'leaving')])
+    assert accepts_operations(tables, 'a', clock.seconds() + 1)
+    assert not accepts_operations(tables, 'a', clock.seconds() + 2)
+    servers.apply_changes([_row('a', 1, 12)])
+    assert accepts_operations(tables, 'a', clock.seconds() + 2)
