Close connections whose session state is unknown

Cause: a SET that a server answers with FAILED has run. apply_session did not record it, and closed the connection only after a failed RESET. In a transaction, the ROLLBACK that followed returned it to the pool.

Change: a set-up step without a certain outcome closes its connection, own or lent; one that certainly did not run leaves it open. Shapes that a server does not know any more are cleared in transactions, too.

--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -69,7 +69,7 @@
                 call.shapes,
             )
             if not applied:
-                return self._abort(call, 'the connection was lost')
+                return self._abort(call, 'the session could not be set up')
             if not holds_workspace(self._context.tables, call.session):
                 return self._abort(call, KEY_CHANGED)
             transaction.wrote = transaction.wrote or call.writes
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -2,12 +2,7 @@
 
 from typing import NamedTuple
 
-from toucandeal.caller_sessions import (
-    PrepareShape,
-    ResetSession,
-    SetValue,
-    apply_step,
-)
+from toucandeal.caller_sessions import SetupStep
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.statement_queue import ConnectionRequest
@@ -25,8 +20,8 @@
 )
 from toucandeald.logs import log_event
 from toucandeald.replies import withheld
-from toucandeald.server_pools import ServerPools
-from toucandeald.session_messages import AnswerKind, RollBack, ServerAnswer
+from toucandeald.server_pools import ServerPools, record_setup
+from toucandeald.session_messages import RollBack
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = ['Lending']
@@ -160,7 +155,8 @@
             )
         else:
             answer = withheld('the lender is about to stop')
-        _record_setup_step(loan.connection, request, answer)
+        if isinstance(request, SetupStep):
+            record_setup(loan.connection, request, answer)
         if key in self._loans:
             self._loans[key] = loan._replace(idle_since=steady_seconds())
             self._gossip.send(
@@ -200,13 +196,3 @@
         now + loan_request.wait_s,
         loan_request.workspace,
     )
-
-
-def _record_setup_step(connection, request, answer: ServerAnswer) -> None:
-    """Record the connection state that the borrower's request has set."""
-    if not isinstance(request, SetValue | PrepareShape | ResetSession):
-        return
-    if answer.kind is AnswerKind.COMPLETED:
-        apply_step(connection.connection_state, request)
-    else:
-        connection.close()
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -8,7 +8,7 @@
 from toucandeal.caller_sessions import (
     CallerSession,
     PreparedShape,
-    ResetSession,
+    SetupStep,
     apply_step,
     setup_steps,
 )
@@ -27,6 +27,7 @@
 from toucandeald.connection_pool import ConnectionPool, OpenConnection
 from toucandeald.full_servers import open_or_borrow
 from toucandeald.logs import log_event
+from toucandeald.replies import NO_EFFECT
 from toucandeald.session_messages import (
     AnswerKind,
     Forward,
@@ -36,7 +37,7 @@
 )
 from toucandeald.steady_clock import steady_seconds
 
-__all__ = ['SETUP_TIMEOUT_S', 'ServerPools']
+__all__ = ['SETUP_TIMEOUT_S', 'ServerPools', 'record_setup']
 
 SETUP_TIMEOUT_S = 0.5  # for a request that occupies no slot
 AVOID_S = 0.25  # for a server that refused connections
@@ -182,11 +183,9 @@
             connection.connection_state, session.values, shapes
         ):
             answer = await self.call(server, connection, step, SETUP_TIMEOUT_S)
+            record_setup(connection, step, answer)
             if answer.kind is not AnswerKind.COMPLETED:
-                if isinstance(step, ResetSession):
-                    connection.close()
                 return False
-            apply_step(connection.connection_state, step)
         return True
 
     async def call(
@@ -208,6 +207,8 @@
             load.in_flight -= 1
         now = steady_seconds()
         self._record_answer(server, answer, sent_at, now)
+        if answer.kind is AnswerKind.UNKNOWN_STATEMENT:
+            connection.connection_state.shapes.clear()
         if isinstance(request, Forward) and answer.kind is AnswerKind.COMPLETED:
             load.observe_latency(now - sent_at, now)
         return answer
@@ -404,5 +405,17 @@
             self.on_suspicion(server, refusal.reason)
 
 
+def record_setup(connection, step: SetupStep, answer: ServerAnswer) -> None:
+    """Record what a setup step has done to the state of its connection.
+
+    A step without a certain outcome may have run, so the connection, whose
+    state is unknown then, is closed.
+    """
+    if answer.kind is AnswerKind.COMPLETED:
+        apply_step(connection.connection_state, step)
+    elif answer.kind not in NO_EFFECT:
+        connection.close()
+
+
 def _log_ignored(server: Server, reason: str) -> None:
     log_event('suspicion ignored', server=server.name, reason=reason)
--- a/packages/toucandeald/src/toucandeald/single_statements.py
+++ b/packages/toucandeald/src/toucandeald/single_statements.py
@@ -235,8 +235,6 @@
         )
         if answer.kind not in NO_EFFECT:
             call.session.ran = True
-        if answer.kind is AnswerKind.UNKNOWN_STATEMENT:
-            connection.connection_state.shapes.clear()
         if answer.in_transaction:
             self._context.pools.discard(server, connection)
         else:
--- a/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
@@ -1,16 +1,26 @@
 """The states of servers, as the pools learn them from attempts to connect."""
 
+import pytest
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from toucandeal.caller_sessions import CallerSession, ConnectionState
-from toucandeal.fleet import ProxyRecord, Server
+from toucandeal.caller_sessions import (
+    CallerSession,
+    ConnectionState,
+    PreparedShape,
+)
+from toucandeal.fleet import ProxyRecord, Server, Statement, Verb
 from toucandeal.fleet_tables import server_load
 from toucandeal.statement_queue import ConnectionRequest
 from toucandeal.tests.sample_tables import NOW, new_tables
 from toucandeald.borrowing import Borrowing
 from toucandeald.server_pools import ServerPools
-from toucandeald.session_messages import lost
+from toucandeald.session_messages import (
+    AnswerKind,
+    Forward,
+    ServerAnswer,
+    lost,
+)
 from toucandeald.steady_clock import pause, virtual_time
 
 ATTEMPT_S = 0.6  # until an attempt to connect to a dark server ends
@@ -31,6 +41,19 @@
         self.usable = False
 
 
+class SetupConnection(StubConnection):
+    """A connection that gives one answer to each request."""
+
+    def __init__(self, answer):
+        super().__init__()
+        self.answer = answer
+
+    def call(self, request, timeout_s):
+        """Answer a request."""
+        del request, timeout_s
+        return defer.succeed(self.answer)
+
+
 class DarkServer:
     """A proxy with three servers, of which `b` is dark."""
 
@@ -96,3 +119,48 @@
         proxy.is_dark = False
         proxy.run(1)
         assert not proxy.is_avoided
+
+
+@pytest.mark.parametrize(
+    ('kind', 'usable'),
+    [
+        (AnswerKind.FAILED, False),
+        (AnswerKind.TIMED_OUT, False),
+        (AnswerKind.NOT_RUN, True),
+    ],
+)
+@pytest.mark.parametrize('held', [{}, {'zone': 'lima'}])
+def test_a_connection_whose_state_is_unknown_is_closed(kind, usable, held):
+    # Guards against values and shapes of a change that ran though it failed,
+    # which the next session on the connection would have.
+    proxy = DarkServer()
+    connection = SetupConnection(ServerAnswer(kind, [], '', 'it failed'))
+    connection.connection_state.values.update(held)
+    session = CallerSession(1, 'db')
+    if not held:
+        session.values['lang'] = 'es'
+    with virtual_time(proxy.clock.seconds):
+        applied = defer.ensureDeferred(
+            proxy.pools.apply_session(proxy.server, connection, session, [])
+        )
+        assert applied.result is False
+    assert connection.usable is usable
+    assert connection.connection_state.values == held
+
+
+def test_shapes_that_a_server_does_not_know_are_prepared_again():
+    # Guards against a connection that fails each EXECUTE of a transaction.
+    proxy = DarkServer()
+    connection = SetupConnection(
+        ServerAnswer(AnswerKind.UNKNOWN_STATEMENT, [], '', 'unknown')
+    )
+    shape = PreparedShape('q', writes=False)
+    connection.connection_state.shapes.add(shape)
+    statement = Statement(Verb.EXECUTE, 'EXECUTE s a')
+    with virtual_time(proxy.clock.seconds):
+        defer.ensureDeferred(
+            proxy.pools.call(
+                proxy.server, connection, Forward('1', statement, shape), 1.0
+            )
+        )
+    assert not connection.connection_state.shapes
