Ignore odd entries without harm to the others

What callers saw, in a test: with one server entry whose address has no port, a port above 65535 or a host name, a leaving primary was not replaced in 8 s, because each promotion of its group ended with an exception. A deeply nested entry ended the feed of servers for 0.5 s each time it was read.

Cause: the decoders raise RecursionError, which nobody expects, and check neither ranges nor the form of addresses.

A large number and text that is not UTF-8 did no harm.

Change: one function decodes what is stored, and raises ValueError for nested content. A peer address that ZeroMQ refuses no longer ends the round of heartbeats.

--- a/packages/toucandeald/src/toucandeald/http_client.py
+++ b/packages/toucandeald/src/toucandeald/http_client.py
@@ -18,6 +18,7 @@
     'host_port',
 ]
 
+MAX_PORT = 65535
 MAX_REPLY_BYTES = 67_108_864
 
 
@@ -42,12 +43,24 @@
 def host_port(address: str) -> tuple[str, int]:
     """Split ``host:port``.
 
+    Raises
+    ------
+    ValueError
+        The address does not have this form, or the port is out of range.
+
     Examples
     --------
     >>> host_port('127.0.0.1:80')
     ('127.0.0.1', 80)
+    >>> host_port('127.0.0.1:65536')
+    Traceback (most recent call last):
+    ...
+    ValueError: '127.0.0.1:65536' is not of the form HOST:PORT
     """
     host, _, port = address.rpartition(':')
+    is_number = port.isascii() and port.isdigit()
+    if not (host and is_number and int(port) <= MAX_PORT):
+        raise ValueError(f'{address!r} is not of the form HOST:PORT')
     return host, int(port)
 
 
--- a/packages/toucandeald/src/toucandeald/peers.py
+++ b/packages/toucandeald/src/toucandeald/peers.py
@@ -14,6 +14,7 @@
 from zope.interface import implementer
 
 from toucandeal.errors import BadSetting
+from toucandeald.http_client import host_port
 from toucandeald.logs import log_event
 from toucandeald.peer_wire import Message
 
@@ -48,6 +49,7 @@
         self._context = zmq.Context(io_threads=1)
         self._pull_socket = self._context.socket(zmq.PULL)
         self._push_sockets: dict[str, zmq.Socket] = {}
+        self._unusable: set[str] = set()
         self.bytes_sent = 0
         self.bytes_received = 0
         try:
@@ -95,16 +97,25 @@
 
     def send(self, address: str, message: msgspec.Struct) -> bool:
         """Send a message to a peer; return whether it was queued."""
+        if address in self._unusable:
+            return False
         frame = _encode(message)
         try:
             self._socket(address).send(frame, zmq.NOBLOCK)
         except zmq.Again:
             return False
+        except (zmq.ZMQError, ValueError) as error:
+            self._unusable.add(address)
+            log_event(
+                'peer address unusable', address=address, reason=str(error)
+            )
+            return False
         self.bytes_sent += len(frame)
         return True
 
     def keep_only(self, addresses: set[str]) -> None:
         """Close the sockets of all peers that are not in `addresses`."""
+        self._unusable &= addresses
         for address in set(self._push_sockets) - addresses:
             self._push_sockets.pop(address).close(linger=0)
 
@@ -117,6 +128,7 @@
 
     def _socket(self, address: str) -> zmq.Socket:
         if address not in self._push_sockets:
+            host_port(address)  # ZeroMQ accepts some that it can't connect to
             socket = self._context.socket(zmq.PUSH)
             socket.setsockopt(zmq.SNDHWM, SEND_HIGH_WATER_MARK)
             socket.setsockopt(zmq.LINGER, 0)
@@ -126,6 +138,10 @@
             socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
             socket.setsockopt(zmq.HEARTBEAT_IVL, PING_MS)
             socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS)
-            socket.connect(f'tcp://{address}')
+            try:
+                socket.connect(f'tcp://{address}')
+            except zmq.ZMQError:
+                socket.close(linger=0)
+                raise
             self._push_sockets[address] = socket
         return self._push_sockets[address]
--- a/packages/toucandeald/src/toucandeald/shared_records.py
+++ b/packages/toucandeald/src/toucandeald/shared_records.py
@@ -5,13 +5,15 @@
 confirmed the others.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
 from toucandeal.fleet import GroupRecord, ProxyRecord
 from toucandeal.store_versions import NO_VERSION, StoreVersion
+from toucandeald.http_client import host_port
 from toucandeald.shared_store import SharedRow
+from toucandeald.stored_json import NaturalNumber, decode_stored
 
 __all__ = [
     'ERA_KEY',
@@ -50,23 +52,23 @@
 
 class _Group(msgspec.Struct):
     primary: str
-    term: int
+    term: NaturalNumber
     changing: bool = False
     planned: bool = False
     holder: str = ''
 
 
 class _Proxy(msgspec.Struct):
-    incarnation: int
+    incarnation: NaturalNumber
     address: str
     silent: bool = False
     failure_domain: str = ''
-    link_mbps: float = 0.0
-    protocol: int = 0  # builds before the first version write none
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    protocol: NaturalNumber = 0  # builds before the first version write none
 
 
 class _Era(msgspec.Struct):
-    era: int
+    era: NaturalNumber
 
 
 class Records(NamedTuple):
@@ -141,14 +143,14 @@
     for row in rows:
         try:
             decoded = _decode_into(decoded, row)
-        except msgspec.MsgspecError:
+        except ValueError:
             decoded.unreadable.append(row.key)
     return decoded
 
 
 def _decode_into(decoded: Records, row: SharedRow) -> Records:
     if row.key.startswith(_GROUP_PREFIX):
-        group = msgspec.json.decode(row.content, type=_Group)
+        group = decode_stored(row.content, _Group)
         decoded.groups.append(
             GroupRecord(
                 row.key.removeprefix(_GROUP_PREFIX),
@@ -162,7 +164,8 @@
         )
     elif row.key.startswith(_PROXY_PREFIX):
         name = row.key.removeprefix(_PROXY_PREFIX)
-        proxy = msgspec.json.decode(row.content, type=_Proxy)
+        proxy = decode_stored(row.content, _Proxy)
+        host_port(proxy.address)
         decoded.proxies[name] = ProxyRecord(
             name,
             proxy.incarnation,
@@ -174,11 +177,11 @@
             proxy.link_mbps,
         )
     elif row.key == PROMOTION_LOCK_KEY:
-        lock = msgspec.json.decode(row.content, type=_Lock)
+        lock = decode_stored(row.content, _Lock)
         return decoded._replace(
             promotion_lock=PromotionLock(lock.holder, lock.nonce, row.version)
         )
     elif row.key == ERA_KEY:
-        era = msgspec.json.decode(row.content, type=_Era)
+        era = decode_stored(row.content, _Era)
         return decoded._replace(confirmed_era=era.era)
     return decoded
