Count records as complete only without gaps

Cause: leases from peers and copies of the records compare the highest version of any record. A single record that arrives raises it, and so hides one that was missed.

Change: records_version is the version up to which all records are known. Reads of the store and copies raise it, single records do not; a copy has no record behind a gap. The holder of a promotion sends a copy first, so that leases on other groups are renewed without a delay. No message changes.

--- a/packages/toucandeal/src/toucandeal/primary_lease.py
+++ b/packages/toucandeal/src/toucandeal/primary_lease.py
@@ -184,7 +184,7 @@
     """What a peer reports that may renew this proxy's lease.
 
     `lease_age_s` is the age of the peer's own lease from the store,
-    `records_version` the version of the shared records that it has, and
+    `records_version` the version up to which it has all shared records, and
     `store_era` the newest era of the store that it knows of.
     """
 
@@ -209,7 +209,7 @@
     lease : PrimaryLease
     report : PeerLeaseReport
     records_version : StoreVersion
-        Of the records that this proxy has. The report of a peer with newer
+        Up to which this proxy has all records. The report of a peer with newer
         records proves nothing about the older ones.
     sent_after : float
         A time, on this clock, after which the peer sent its message.
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -40,7 +40,7 @@
     `lease_age` is the age of the sender's last read of the shared records, and
     `confirms_none_begun` its confirmation that it has begun no promotion. Both
     are only for a recipient with `counts_recipient` set, which the sender
-    counts among the proxies.
+    counts among the proxies. It has all records up to `records_version`.
     `demands` is how many connections the sender could use, by server, and
     `store_era` the newest era of the store that the sender knows of.
     `freshness_age` is the age of the sender's proof that its configuration is
@@ -103,7 +103,7 @@
 
 
 class RecordsCopy(msgspec.Struct, tag='r', array_like=True):
-    """The shared records, for a peer that has older ones."""
+    """All shared records up to the newest one, for a peer with older ones."""
 
     sender: str
     rows: list[RowCopy]
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -211,7 +211,7 @@
             case LenderDemand():
                 self._apply_demands(message)
             case RecordsCopy():
-                self._state.apply_record_rows(shared_rows(message.rows))
+                self._state.apply_records_copy(shared_rows(message.rows))
             case ConfigurationCopy() | CompressedConfiguration():
                 self._state.configuration.receive(message, self._state.era)
             case ServersCopy():
@@ -219,7 +219,7 @@
                     shared_rows(message.rows), message.version
                 )
             case PromotionBegun():
-                self._state.apply_record_rows(shared_rows([message.record]))
+                self._state.apply_record(*shared_rows([message.record]))
                 self.on_promotion_begun(message)
             case WorkStopped():
                 self.on_work_stopped(message)
--- a/packages/toucandeald/src/toucandeald/peer_copies.py
+++ b/packages/toucandeald/src/toucandeald/peer_copies.py
@@ -20,7 +20,7 @@
     RowCopy,
     ServersCopy,
 )
-from toucandeald.shared_records import proxy_key
+from toucandeald.shared_records import group_key, proxy_key
 from toucandeald.shared_state import SHORT_WAIT_PROXIES, SharedState
 from toucandeald.shared_store import SharedRow
 from toucandeald.steady_clock import steady_seconds
@@ -66,12 +66,19 @@
     def records_copy(self) -> RecordsCopy:
         """Return the records, without the proxies.
 
-        Proxies read the list of proxies themselves.
+        Proxies read the list of proxies themselves. The recipient counts the
+        copy as complete up to its newest record, so it has no group's record
+        behind a gap.
         """
+        state = self._state
         rows = [
             row
-            for key, row in self._state.records.items()
+            for key, row in state.records.items()
             if not key.startswith(proxy_key(''))
+            and (
+                not key.startswith(group_key(''))
+                or row.version <= state.records_version
+            )
         ]
         return RecordsCopy(self._tables.name, _copies(rows))
 
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -260,6 +260,9 @@
         request = PromotionBegun(
             self._tables.name, self._gossip.own_address, row
         )
+        # The request brings one record; peers renew their leases from this
+        # proxy only if they have all records that it has.
+        self._gossip.send_records()
         requested_at = 0.0
         missing = self._proxies_not_stopped(record)
         while missing and steady_seconds() < leases_expire_at:
--- a/packages/toucandeald/src/toucandeald/shared_records.py
+++ b/packages/toucandeald/src/toucandeald/shared_records.py
@@ -27,6 +27,7 @@
     'encode_promotion_lock',
     'encode_proxy',
     'group_key',
+    'newest_group_version',
     'proxy_key',
 ]
 
@@ -148,6 +149,19 @@
     return decoded
 
 
+def newest_group_version(decoded: Records) -> StoreVersion:
+    """Return the highest version of a group's record.
+
+    Examples
+    --------
+    >>> newest_group_version(decode_records([]))
+    StoreVersion(era=0, number=0)
+    """
+    return max(
+        (record.version for record in decoded.groups), default=NO_VERSION
+    )
+
+
 def _decode_into(decoded: Records, row: SharedRow) -> Records:
     if row.key.startswith(_GROUP_PREFIX):
         group = decode_stored(row.content, _Group)
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -53,6 +53,7 @@
     PromotionLock,
     Records,
     decode_records,
+    newest_group_version,
 )
 from toucandeald.shared_store import (
     HistoryGone,
@@ -100,7 +101,12 @@
 
 
 class SharedState:
-    """The rows that this proxy has read from the shared tables."""
+    """The rows that this proxy has read from the shared tables.
+
+    This proxy has all groups' records up to `records_version`. A single newer
+    record, as it comes with the begin of a promotion, does not raise it: the
+    begin of an earlier promotion may have been missed.
+    """
 
     def __init__(
         self,
@@ -117,6 +123,7 @@
         self.lock_seen_at = steady_seconds()
         self.record_seen_at: dict[str, float] = {}
         self.records: dict[str, SharedRow] = {}
+        self.records_version: StoreVersion = NO_VERSION
         self.registry = ProxyRegistry(store, own)
         self.server_list = ServerList(tables, shared.decode_server)
         self.configuration = HeldConfiguration(
@@ -159,18 +166,6 @@
         row = self.records.get(ERA_KEY)
         return NO_VERSION if row is None else row.version
 
-    @property
-    def records_version(self) -> StoreVersion:
-        """Return the highest version of a group's record."""
-        return max(
-            (
-                group.record.version
-                for group in self._tables.groups.values()
-                if group.record is not None
-            ),
-            default=NO_VERSION,
-        )
-
     def row_version(self, key: str) -> StoreVersion:
         """Return the version of a record's row at the last read."""
         return self._row_versions.get(key, NO_VERSION)
@@ -244,9 +239,17 @@
         self._apply_records(snapshot, sent_at)
         return True
 
-    def apply_record_rows(self, rows: list[SharedRow]) -> None:
-        """Apply newer records, from the store or from a peer."""
-        self._apply_decoded(rows, decode_records(rows))
+    def apply_record(self, row: SharedRow) -> None:
+        """Apply a single record from a peer if it is newer."""
+        self._apply_decoded([row], decode_records([row]))
+
+    def apply_records_copy(self, rows: list[SharedRow]) -> None:
+        """Apply a peer's copy of all records that it is certain to have."""
+        decoded = decode_records(rows)
+        self._apply_decoded(rows, decoded)
+        self.records_version = max(
+            self.records_version, newest_group_version(decoded)
+        )
 
     def _apply_decoded(self, rows: list[SharedRow], decoded: Records) -> None:
         now = steady_seconds()
@@ -300,6 +303,9 @@
             for key in set(self.records) - set(self._row_versions):
                 self.records.pop(key)
             self._apply_decoded(snapshot.rows, decoded)
+            self.records_version = max(
+                self.records_version, newest_group_version(decoded)
+            )
         self.unconfirmed = None if confirmed else decoded
         record_store_read(
             self._tables.primary_lease,
