Stop using a primary that answers that it does not lead

Cause: a proxy with a valid lease took the position in a READONLY answer, or in a status report of a replica, as a sample of the primary, so reads at replicas counted as fresh on the word of a former primary. It also went on reading there until the promotion was recorded.

A check follows at once, so a server that leads again is used again; an answer may be older than the record of the promotion.

Before: 2 of 3 cases of test_an_answer_that_denies_to_lead_is_no_sample failed (one sample instead of none). After: all pass, with the tests of packages/toucandeal and packages/toucandeald.

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -24,6 +24,8 @@
     'apply_record',
     'configuration_version',
     'group_state',
+    'note_leading',
+    'note_not_leading',
     'accepts_operations',
     'is_confirmed',
     'record_position',
@@ -118,7 +120,8 @@
     be acknowledged. `term_start` is the first position observed of a primary
     of the present term. Work in progress when a planned promotion begins may
     finish before `primary_work_until`. `backoff` sets the retry delay of
-    refused callers.
+    refused callers. `not_leading` is the recorded primary, if it has answered
+    that it does not lead.
     """
 
     def __init__(self, name: str) -> None:
@@ -129,6 +132,7 @@
         self.history: History = []
         self.term_start: LogPosition = NOTHING_SEEN
         self.primary_work_until = math.inf
+        self.not_leading = ''
         self.backoff = Backoff()
         self.crossing = CrossingState()
 
@@ -234,6 +238,7 @@
     if current is not None and update.primary != current.primary:
         group.history.clear()
         group.term_start = NOTHING_SEEN
+        group.not_leading = ''
     group.record = update
     return True
 
@@ -245,6 +250,29 @@
     return begun or update.primary != current.primary
 
 
+def note_not_leading(tables: FleetTables, server: Server) -> None:
+    """Note that a server has answered that it does not lead its group.
+
+    If it is the recorded primary, another one may lead, whose commits it does
+    not know. What it said before counts no more, in spite of a valid lease.
+    """
+    group = group_state(tables, server.group)
+    is_recorded = (
+        group.record is not None and group.record.primary == server.name
+    )
+    if is_recorded and group.not_leading != server.name:
+        group.not_leading = server.name
+        group.epoch += 1
+        group.history.clear()
+
+
+def note_leading(tables: FleetTables, server: Server) -> None:
+    """Note that a server has reported that it leads its group."""
+    group = group_state(tables, server.group)
+    if group.not_leading == server.name:
+        group.not_leading = ''
+
+
 def accepts_operations(tables: FleetTables, name: str, now: float) -> bool:
     """Return whether a server has not been leaving for too long.
 
@@ -256,9 +284,12 @@
 
 def usable_primary(tables: FleetTables, name: str, now: float) -> Server | None:
     """Return the primary that the lease allows to use now, or None."""
-    current = group_state(tables, name).record
+    group = group_state(tables, name)
+    current = group.record
     if not may_use_primary(tables.primary_lease, current, now):
         return None
+    if current.primary == group.not_leading:
+        return None
     return tables.servers.get(current.primary)
 
 
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -3,7 +3,13 @@
 import pytest
 
 from toucandeal.fleet import GroupRecord, RouteKind
-from toucandeal.fleet_tables import apply_record, record_position, server_load
+from toucandeal.fleet_tables import (
+    apply_record,
+    note_leading,
+    note_not_leading,
+    record_position,
+    server_load,
+)
 from toucandeal.placement import (
     Placement,
     Refusal,
@@ -70,6 +76,32 @@
     assert isinstance(_read(tables), Refusal)
 
 
+def test_a_server_that_denies_to_lead_is_not_used_as_the_primary():
+    # Guards against stale reads at a server that has lost the lead while the
+    # lease on it lasts, and against samples from it.
+    tables = new_tables()
+    record_primary_position(tables, 7, NOW)
+    epoch = tables.groups['g'].epoch
+    note_not_leading(tables, tables.servers['a'])
+    assert tables.groups['g'].epoch > epoch
+    record_primary_position(tables, 8, NOW)
+    assert not tables.groups['g'].history
+    assert isinstance(place_write(tables, new_route(), NOW), Refusal)
+    assert isinstance(_read(tables), Refusal)
+    note_not_leading(tables, tables.servers['b'])
+    note_leading(tables, tables.servers['b'])
+    assert isinstance(place_write(tables, new_route(), NOW), Refusal)
+    note_leading(tables, tables.servers['a'])
+    assert place_write(tables, new_route(), NOW).server.name == 'a'
+
+
+def test_another_primary_is_used_after_one_that_denied_to_lead():
+    tables = new_tables()
+    note_not_leading(tables, tables.servers['a'])
+    apply_record(tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)))
+    assert place_write(tables, new_route(), NOW).server.name == 'b'
+
+
 def test_a_read_without_a_sample_goes_to_the_primary():
     assert _read(new_tables()).server.name == 'a'
 
--- a/packages/toucandeald/src/toucandeald/primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -10,6 +10,7 @@
 from toucandeald.background_tasks import run_in_background
 from toucandeald.connection_pool import OpenConnection
 from toucandeald.logs import log_event
+from toucandeald.server_pools import note_role
 from toucandeald.server_reports import request_on_new_connection
 from toucandeald.session_messages import AnswerKind, ReportStatus
 from toucandeald.steady_clock import pause, steady_seconds
@@ -91,6 +92,7 @@
     def _record_role(self, server: Server, report: ServerReport | None) -> None:
         if report is None:
             return
+        note_role(self._tables, server, report)
         if report.is_primary:
             self.stepped_down.pop(server.group, None)
         else:
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -16,6 +16,8 @@
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import (
     FleetTables,
+    note_leading,
+    note_not_leading,
     record_position,
     server_load,
 )
@@ -37,7 +39,7 @@
 )
 from toucandeald.steady_clock import steady_seconds
 
-__all__ = ['SETUP_TIMEOUT_S', 'ServerPools', 'record_setup']
+__all__ = ['SETUP_TIMEOUT_S', 'ServerPools', 'note_role', 'record_setup']
 
 SETUP_TIMEOUT_S = 0.5  # for a request that occupies no slot
 AVOID_S = 0.25  # for a server that refused connections
@@ -377,9 +379,14 @@
         if answer.kind is AnswerKind.LAGGING:
             load.lagging_until = now + LAGGING_RETRY_DELAY_S
         if answer.kind is AnswerKind.READ_ONLY:
+            note_not_leading(self._tables, server)
             self.on_suspicion(server, 'it refuses writes')
         if answer.report is not None:
             load.received = max(load.received, answer.report.received)
+            note_role(self._tables, server, answer.report)
+            if not answer.report.is_primary:
+                # The report may be older than the record of its promotion.
+                self.on_suspicion(server, 'it reports that it does not lead')
         if answer.position is not None:
             record_position(self._tables, server, answer.position, sent_at, now)
 
@@ -405,6 +412,16 @@
             self.on_suspicion(server, refusal.reason)
 
 
+def note_role(
+    tables: FleetTables, server: Server, report: ServerReport
+) -> None:
+    """Note whether a server reports that it leads its group."""
+    if report.is_primary:
+        note_leading(tables, server)
+    else:
+        note_not_leading(tables, server)
+
+
 def record_setup(connection, step: SetupStep, answer: ServerAnswer) -> None:
     """Record what a setup step has done to the state of its connection.
 
--- a/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
@@ -10,7 +10,9 @@
     PreparedShape,
 )
 from toucandeal.fleet import ProxyRecord, Server, Statement, Verb
-from toucandeal.fleet_tables import server_load
+from toucandeal.fleet_tables import server_load, usable_primary
+from toucandeal.positions import LogPosition
+from toucandeal.promotion import ServerReport
 from toucandeal.statement_queue import ConnectionRequest
 from toucandeal.tests.sample_tables import NOW, new_tables
 from toucandeald.borrowing import Borrowing
@@ -18,6 +20,7 @@
 from toucandeald.session_messages import (
     AnswerKind,
     Forward,
+    ReportStatus,
     ServerAnswer,
     lost,
 )
@@ -164,3 +167,39 @@
             )
         )
     assert not connection.connection_state.shapes
+
+
+@pytest.mark.parametrize(
+    ('answer', 'samples'),
+    [
+        (ServerAnswer(AnswerKind.COMPLETED, [], '', ''), 1),
+        (ServerAnswer(AnswerKind.READ_ONLY, [], '', 'b'), 0),
+        (
+            ServerAnswer(
+                AnswerKind.COMPLETED,
+                [],
+                '',
+                '',
+                report=ServerReport(False, 3, LogPosition(3, 9)),
+            ),
+            0,
+        ),
+    ],
+)
+def test_an_answer_that_denies_to_lead_is_no_sample(answer, samples):
+    # Guards against reads at replicas that count as fresh on the word of a
+    # former primary, which does not know the commits of its successor.
+    proxy = DarkServer()
+    suspected = []
+    proxy.pools.on_suspicion = lambda server, _: suspected.append(server.name)
+    primary = proxy.tables.servers['a']
+    connection = SetupConnection(answer._replace(position=LogPosition(3, 9)))
+    with virtual_time(proxy.clock.seconds):
+        defer.ensureDeferred(
+            proxy.pools.call(primary, connection, ReportStatus(), 1.0)
+        )
+        usable = usable_primary(proxy.tables, 'g', proxy.clock.seconds())
+    assert len(proxy.tables.groups['g'].history) == samples
+    assert (usable is not None) == bool(samples)
+    # A check follows, so that one which leads again is used again.
+    assert suspected == ([] if samples else ['a'])
