--- a/packages/toucandeald/src/toucandeald/fleet_shutdown.py
+++ b/packages/toucandeald/src/toucandeald/fleet_shutdown.py
@@ -25,8 +25,8 @@
 # Before the process would be killed. With 0.7 s, an unanswered deregistration
 # and the exit of the process left 0.1 s, which a busy machine used up.
 MARGIN_S = 1.0
-# Of the time-out, before the process would be killed. Until then a server may
-# take for an answer that is due, also where this is less than MARGIN_S.
+# Of a short time-out: answers that are due are awaited until this share of it
+# is left, at most MARGIN_S.
 ANSWER_MARGIN_SHARE = 1 / 6
 DEREGISTER_TIMEOUT_S = 0.3  # within MARGIN_S; peers also note the silence
 CHECK_INTERVAL_S = 0.05
