Release the promotion lock only while its row is unchanged

Cause: the transaction that records the new primary writes the lock's row too, but had only the group's record and the era as preconditions.

Change: the version of the lock's row is a precondition. After a conflict the primary is recorded without the lock, as long as the group's record is still this promotion's. If it is not, another proxy has resumed the promotion; the log says `superseded`, and the promotion counts as abandoned. A conflict that comes from an own call without an answer is told from the record that it wrote.

Before the change test_the_late_end_of_a_promotion_leaves_the_lock_to_its_holder failed with 0.02 and 0.3 s (a write over another's acquisition), and so did the three tests of what the log says at the end. The simulated store answers a conflict with the rows now, as the platform does.

--- a/packages/toucandeald/src/toucandeald/promotion_lock.py
+++ b/packages/toucandeald/src/toucandeald/promotion_lock.py
@@ -2,7 +2,8 @@
 
 One transaction acquires the lock and writes the group's record, which stops
 all work with the old primary. The version of the lock's row is the fencing
-token. Another transaction records the new primary and releases the lock.
+token. Another transaction records the new primary and releases the lock, if it
+has not passed on to another proxy.
 """
 
 import secrets
@@ -24,7 +25,7 @@
     proxy_key,
 )
 from toucandeald.shared_state import SharedState
-from toucandeald.shared_store import Precondition, Put
+from toucandeald.shared_store import Committed, Conflict, Precondition, Put
 from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = [
@@ -135,7 +136,7 @@
 
     async def _write_until_certain(
         self, group: str, preconditions, puts, *, abandon_if_unwritten: bool
-    ) -> None:
+    ) -> Committed | Conflict:
         """Repeat a transaction until its outcome is certain.
 
         Parameters
@@ -147,6 +148,12 @@
             Whether to raise if the store fails a call and it is certain that
             no call has taken effect.
 
+        Returns
+        -------
+        Committed or Conflict
+            Of the last call. After a call without an answer, a conflict may
+            come from the write of that call itself.
+
         Raises
         ------
         StoreUnavailable
@@ -155,8 +162,7 @@
         uncertain = not abandon_if_unwritten
         while True:
             try:
-                await self._store.transact(preconditions, puts)
-                return
+                return await self._store.transact(preconditions, puts)
             except StoreUnavailable as error:
                 uncertain = uncertain or error.uncertain
                 if not uncertain:
@@ -191,33 +197,77 @@
     async def complete_promotion(
         self, held_lock: HeldLock, primary: str, term: int
     ) -> None:
-        """Record the group's primary and release the lock."""
-        record = held_lock.record
-        key = group_key(record.group)
-        new_record = GroupRecord(record.group, primary, term)
-        await self._write_until_certain(
-            record.group,
-            [
-                Precondition(
-                    RECORDS_TABLE, ERA_KEY, self._state.era_row_version
-                ),
-                Precondition(RECORDS_TABLE, key, record.version),
-            ],
-            [
-                Put(RECORDS_TABLE, key, encode_group(new_record)),
-                Put(
-                    RECORDS_TABLE,
-                    PROMOTION_LOCK_KEY,
-                    encode_promotion_lock('', ''),
-                ),
-            ],
-            abandon_if_unwritten=False,
-        )
+        """Record the group's primary, and release the lock if it is held.
+
+        A lock that has passed on to another proxy stays as it is. The primary
+        is recorded all the same, unless another proxy has resumed the
+        promotion.
+
+        Raises
+        ------
+        PromotionAbandoned
+            Another proxy has resumed the promotion.
+        """
+        record = GroupRecord(held_lock.record.group, primary, term)
+        answer, lock = await self._record_primary(held_lock, record)
         await self._state.read_records()
+        recorded = _has_recorded(answer, record)
         log_event(
             'promotion',
             group=record.group,
-            step='settled',
+            step='settled' if recorded else 'superseded',
             server=primary,
             term=term,
+            lock=lock,
         )
+        if not recorded:
+            raise PromotionAbandoned('another proxy has resumed the promotion')
+
+    async def _record_primary(
+        self, held_lock: HeldLock, record: GroupRecord
+    ) -> tuple[Committed | Conflict, str]:
+        """Write a record, and the lock's row only if it is unchanged.
+
+        Returns
+        -------
+        tuple of Committed or Conflict, and str
+            The last answer of the store, and what became of the lock.
+        """
+        key = group_key(record.group)
+        preconditions = [
+            Precondition(RECORDS_TABLE, ERA_KEY, self._state.era_row_version),
+            Precondition(RECORDS_TABLE, key, held_lock.record.version),
+        ]
+        own_lock = Precondition(
+            RECORDS_TABLE, PROMOTION_LOCK_KEY, held_lock.token
+        )
+        record_put = Put(RECORDS_TABLE, key, encode_group(record))
+        lock_put = Put(
+            RECORDS_TABLE, PROMOTION_LOCK_KEY, encode_promotion_lock('', '')
+        )
+        answer = await self._write_until_certain(
+            record.group,
+            [*preconditions, own_lock],
+            [record_put, lock_put],
+            abandon_if_unwritten=False,
+        )
+        if isinstance(answer, Committed):
+            return answer, 'released'
+        if _has_recorded(answer, record):
+            return answer, 'released by a call without an answer'
+        answer = await self._write_until_certain(
+            record.group,
+            preconditions,
+            [record_put],
+            abandon_if_unwritten=False,
+        )
+        return answer, 'lost'
+
+
+def _has_recorded(answer: Committed | Conflict, record: GroupRecord) -> bool:
+    """Return whether a record is written, also by a call without an answer."""
+    return isinstance(answer, Committed) or any(
+        row.key == group_key(record.group)
+        and row.content == encode_group(record)
+        for row in answer.rows
+    )
--- a/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
@@ -30,7 +30,13 @@
     proxy_key,
 )
 from toucandeald.shared_state import SharedState, SharedTables
-from toucandeald.shared_store import Changes, Committed, SharedRow, Snapshot
+from toucandeald.shared_store import (
+    Changes,
+    Committed,
+    Conflict,
+    SharedRow,
+    Snapshot,
+)
 from toucandeald.silent_proxies import SilentProxies
 from toucandeald.steady_clock import virtual_time
 
@@ -104,13 +110,17 @@
         self.reads = collections.Counter()
         self.configuration = None
         self.configuration_reads = collections.Counter()
+        self.on_write = ignore_write
+        self.unanswered = set()  # proxies whose transactions get no answer
         self._waiting = []
 
-    def put(self, key, content):
+    def put(self, key, content, writer=''):
         """Write a row."""
         self.number += 1
         version = StoreVersion(self.era, self.number)
-        self.rows[key] = SharedRow(key, content, version)
+        row = SharedRow(key, content, version)
+        self.on_write(writer, self.rows.get(key), row)
+        self.rows[key] = row
 
     def put_configuration(self, content):
         """Write the configuration, and answer the feeds that wait for it."""
@@ -145,6 +155,10 @@
             raise StoreUnavailable('The store is away', 'Wait')
 
 
+def ignore_write(writer, before, row):
+    """Do nothing when a row is written."""
+
+
 class StoreClient:
     """One proxy's connection to the store."""
 
@@ -187,11 +201,14 @@
             row = rows.get(condition.key)
             version = NO_VERSION if row is None else row.version
             if version != condition.version:
-                return None
+                keys = {each.key for each in preconditions}
+                return Conflict([rows[key] for key in keys & rows.keys()])
         for put in puts:
-            self.store.put(put.key, put.content)
+            self.store.put(put.key, put.content, self.name)
         for _, key in removes:
             rows.pop(key, None)
+        if self.name in self.store.unanswered:
+            raise StoreUnavailable('No answer', 'Wait', uncertain=True)
         await self._call()
         return Committed(self.store.version())
 
--- /dev/null
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -0,0 +1,120 @@
+"""Promotions whose steps are delayed while another proxy has the lock."""
+
+import pytest
+
+from toucandeald.tests.simulated_fleet import GROUPS
+from toucandeald.tests.simulated_promotions import (
+    promoting_fleet,
+    promotion_steps,
+)
+
+FIRST, SECOND, THIRD = GROUPS[:3]
+
+
+@pytest.fixture
+def fleet():
+    """Return four proxies, none of which has begun a promotion."""
+    with promoting_fleet() as settled:
+        yield settled
+
+
+def order_and_lose_the_store(fleet):
+    """Let a proxy order a promotion, and cut it off from the store then."""
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: fleet.service.orders)
+    fleet.cut_from_store.add('p0')
+
+
+def begin_another(fleet, name, group):
+    """Let a proxy begin a promotion, and wait until it has the lock."""
+    fleet.replace_primary(name, group)
+    fleet.run_until(lambda: fleet.lock_holder() == name)
+
+
+def test_promotions_take_turns_and_their_tokens_rise(fleet):
+    for number, group in enumerate(GROUPS):
+        fleet.replace_primary(f'p{number}', group)
+        fleet.run(1.5)
+        assert fleet.primary(group) == f'{group}-replica'
+    assert [order.holder for order in fleet.service.orders] == [
+        'p0',
+        'p1',
+        'p2',
+        'p3',
+    ]
+    fleet.check()
+
+
+@pytest.mark.parametrize('cut_for_s', [0.02, 0.3, 0.6])
+def test_the_late_end_of_a_promotion_leaves_the_lock_to_its_holder(
+    fleet, cut_for_s
+):
+    # Guards against two holders of the lock: a holder that could not record
+    # the end in time emptied the lock's row, which was another one's by then.
+    order_and_lose_the_store(fleet)
+    fleet.busy_groups.add(SECOND)
+    begin_another(fleet, 'p1', SECOND)
+    fleet.run(cut_for_s, step_s=0.01)
+    fleet.cut_from_store.clear()
+    fleet.replace_primary('p2', THIRD)
+    fleet.run(8.0)
+    fleet.check()
+    for group in (FIRST, SECOND, THIRD):
+        assert fleet.primary(group) == f'{group}-replica'
+    assert not fleet.without_lease()
+
+
+def ends(steps, group):
+    """Return how the promotions of a group ended, and the lock of each."""
+    return [
+        (step['step'], step['lock'])
+        for step in steps
+        if step['group'] == group and 'lock' in step
+    ]
+
+
+def test_the_end_of_a_promotion_is_recorded_after_the_lock_is_lost(fleet):
+    # Guards against a group without a primary: the one that leads is recorded
+    # though another proxy has the lock.
+    with promotion_steps() as steps:
+        order_and_lose_the_store(fleet)
+        begin_another(fleet, 'p1', SECOND)
+        fleet.cut_from_store.clear()
+        fleet.run(0.5)
+    assert ends(steps, FIRST) == [('settled', 'lost')]
+    assert fleet.primary(FIRST) == f'{FIRST}-replica'
+    fleet.check()
+
+
+def test_an_end_whose_answer_is_lost_releases_the_lock_once(fleet):
+    # Guards against a holder that takes the conflict which its own call has
+    # caused for the work of another proxy.
+    fleet.replace_primary('p0', FIRST)
+    with promotion_steps() as steps:
+        fleet.run_until(lambda: fleet.service.orders)
+        fleet.store.unanswered.add('p0')
+        fleet.run_until(lambda: not fleet.lock_holder())
+        fleet.store.unanswered.clear()
+        fleet.run(3.0)
+    assert ends(steps, FIRST) == [
+        ('settled', 'released by a call without an answer')
+    ]
+    fleet.check()
+
+
+def test_a_holder_whose_promotion_was_resumed_does_not_report_its_end(fleet):
+    # Guards against a log in which two proxies end one promotion, with
+    # different primaries.
+    order_and_lose_the_store(fleet)
+    fleet.proxies['p0'].promoter._watch.stepped_down[FIRST] = 'evidence'
+    with promotion_steps() as steps:
+        fleet.assign('p1', FIRST)
+        fleet.run_until(lambda: fleet.lock_holder() == 'p1')
+        fleet.service.leaders[FIRST] = 'another'
+        fleet.reports.delay_s = 0.2
+        fleet.cut_from_store.clear()
+        fleet.run(3.0)
+    assert ('superseded', 'lost') in ends(steps, FIRST)
+    assert sum(step == 'settled' for step, _ in ends(steps, FIRST)) == 1
+    assert fleet.proxies['p0'].promoter._watch.stepped_down
+    fleet.check()
