Let no promotion order outlast the promotion lock

Cause: the lock was checked once and then renewed without limit, so that an order could leave up to 0.5 s after its end; and an order could take 0.7 s for a connection and 1.5 s for its answer, with 0.3 s of the lock left. A process that was stopped or killed left the order to the kernel, which sends it later.

Change: an order has a deadline, the end of the lock. Connection and answer together end by it, parts of the answer extend nothing, and the lock is checked again after each renewal. The clock is read right before the write, which goes to the socket at once, and TCP_USER_TIMEOUT bounds what the kernel does with it. Sending moves from promoter.py to promotion_orders.py; order_deadline is a plain function of the library.

Why 0.5 s is enough: the connection is aborted at the end of the lock, so only what is already on the way can arrive later.

--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -18,17 +18,24 @@
 
 __all__ = [
     'LOCK_DURATION_S',
+    'RESUME_MARGIN_S',
     'ServerReport',
     'Trigger',
     'best_replica',
     'is_unverified',
     'leads_since',
+    'order_deadline',
     'promotion_delay_s',
     'promotion_trigger',
     'replicas_of',
 ]
 
 LOCK_DURATION_S = 2.0  # a lock holder acts within this time of its last record
+# After LOCK_DURATION_S, before another proxy may acquire the lock. What the
+# holder has sent before has arrived by then, or never does.
+RESUME_MARGIN_S = 0.5
+ORDER_TIMEOUT_S = 1.5  # for the connection and the answer to an order
+ORDER_MARGIN_S = 0.3  # lock time that must remain when an order is sent
 PRIMARY_CONTACT_S = 0.5  # a peer that heard the primary this recently vetoes
 # Contacts reach distant proxies through two relays, each up to 0.25 s later.
 RELAYED_CONTACT_S = 0.7
@@ -228,3 +235,36 @@
     False
     """
     return report is not None and report.is_primary and report.term >= term
+
+
+def order_deadline(held_until: float, now: float) -> float | None:
+    """Return until when a promotion order may take, or None.
+
+    The platform does not check fencing tokens, so an order that waits for a
+    connection or in a socket must be given up before another proxy may acquire
+    the lock.
+
+    Parameters
+    ----------
+    held_until : float
+        When the lock ends, in seconds.
+    now : float
+        Seconds.
+
+    Returns
+    -------
+    float or None
+        Seconds; None if the lock ends too soon to send an order.
+
+    Examples
+    --------
+    >>> order_deadline(12.0, 10.0)
+    11.5
+    >>> order_deadline(12.0, 11.0)
+    12.0
+    >>> order_deadline(12.0, 11.8) is None
+    True
+    """
+    if now > held_until - ORDER_MARGIN_S:
+        return None
+    return min(held_until, now + ORDER_TIMEOUT_S)
--- a/packages/toucandeald/src/toucandeald/http_client.py
+++ b/packages/toucandeald/src/toucandeald/http_client.py
@@ -2,14 +2,22 @@
 
 A connection whose reply times out or is malformed is closed and not reused, so
 that a late reply can't be matched to a later request.
+
+A request with a deadline is not delivered late: it is not sent after the
+deadline, and the kernel gives up what it has not delivered by then, also if the
+process is stopped or killed meanwhile.
 """
 
+import math
+import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
 import httptools
 from twisted.internet import defer, protocol
 
+from toucandeald.steady_clock import steady_seconds
+
 __all__ = [
     'HttpConnection',
     'HttpReply',
@@ -20,6 +28,7 @@
 
 MAX_PORT = 65535
 MAX_REPLY_BYTES = 67_108_864
+_MS_PER_S = 1000
 
 
 class HttpReply(NamedTuple):
@@ -76,6 +85,7 @@
         self._pending_reply: defer.Deferred | None = None
         self._timer = None
         self._progress_timeout_s = 0.0
+        self._deadline = math.inf
         self._chunks: list[bytes] = []
         self._size = 0
         self._headers: dict[bytes, bytes] = {}
@@ -101,6 +111,7 @@
         timeout_s: float,
         headers: str = '',
         progress_timeout_s: float = 0,
+        deadline: float = math.inf,
     ) -> defer.Deferred:
         """Send a request.
 
@@ -115,6 +126,9 @@
         progress_timeout_s : float
             Each part of the reply that arrives extends the time limit to at
             least this much from then, in seconds.
+        deadline : float
+            In seconds of the steady clock. The request is not delivered after
+            it, and its reply is not waited for any longer.
 
         Returns
         -------
@@ -125,7 +139,6 @@
             return defer.fail(
                 HttpRequestError('the connection is closed', sent=False)
             )
-        self._pending_reply = defer.Deferred()
         self._parser = httptools.HttpResponseParser(self)
         self._chunks = []
         self._headers = {}
@@ -133,14 +146,31 @@
         self._message_count = 0
         self._size = 0
         self._progress_timeout_s = progress_timeout_s
-        self._timer = self._clock.callLater(
-            max(timeout_s, 0), self._fail, 'the answer is overdue'
-        )
+        self._deadline = deadline
         head = (
             f'{method} {path} HTTP/1.1\r\nHost: t\r\n'
             f'{headers}Content-Length: {len(body)}\r\n\r\n'
         )
-        self.transport.write(head.encode('ascii') + body)
+        encoded = head.encode('ascii') + body
+        # The process may have been paused until here.
+        remaining_s = deadline - steady_seconds()
+        if remaining_s <= 0:
+            self.close()
+            return defer.fail(
+                HttpRequestError('the deadline has passed', sent=False)
+            )
+        self._pending_reply = defer.Deferred()
+        self._timer = self._clock.callLater(
+            max(min(timeout_s, remaining_s), 0),
+            self._fail,
+            'the answer is overdue',
+        )
+        if deadline < math.inf:
+            self._limit_delivery(remaining_s)
+        self.transport.write(encoded)
+        if deadline < math.inf:
+            # Not in the next iteration of the event loop, which may be late.
+            self.transport.doWrite()
         return self._pending_reply
 
     def close(self) -> None:
@@ -182,11 +212,22 @@
         else:
             self._deliver()
 
+    def _limit_delivery(self, seconds: float) -> None:
+        """Let the kernel close the connection if data stays undelivered."""
+        self.transport.getHandle().setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            max(int(seconds * _MS_PER_S), 1),
+        )
+
     def _extend_time_limit(self) -> None:
         """Allow the rest of a reply whose parts keep arriving more time."""
-        extended_until = self._clock.seconds() + self._progress_timeout_s
+        extension_s = min(
+            self._progress_timeout_s, self._deadline - steady_seconds()
+        )
+        extended_until = self._clock.seconds() + extension_s
         if self._timer is not None and extended_until > self._timer.getTime():
-            self._timer.reset(self._progress_timeout_s)
+            self._timer.reset(extension_s)
 
     def _deliver(self) -> None:
         # The callback may send the next request on this connection, so the
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -16,17 +16,14 @@
 from toucandeal.primary_lease import leases_expired_at, may_begin_promotion
 from toucandeal.promotion import (
     LOCK_DURATION_S,
+    RESUME_MARGIN_S,
     Trigger,
     is_unverified,
     leads_since,
     promotion_delay_s,
     promotion_trigger,
 )
-from toucandeal.store_versions import (
-    NO_VERSION,
-    StoreVersion,
-    fencing_token,
-)
+from toucandeal.store_versions import NO_VERSION, StoreVersion
 from toucandeald.background_tasks import run_in_background
 from toucandeald.fleet_wire import PromotionBegun, RowCopy, WorkStopped
 from toucandeald.gossip import Gossip
@@ -37,11 +34,11 @@
     servers_claiming_primary,
 )
 from toucandeald.promotion_lock import (
-    RESUME_MARGIN_S,
     RETRY_DELAY_S,
     HeldLock,
     PromotionLockManager,
 )
+from toucandeald.promotion_orders import PromotionOrders
 from toucandeald.server_reports import ServerReports
 from toucandeald.shared_records import (
     RECORDS_TABLE,
@@ -49,11 +46,7 @@
     group_key,
 )
 from toucandeald.shared_state import SharedState
-from toucandeald.shared_store import (
-    Precondition,
-    PromoteAnswer,
-    Put,
-)
+from toucandeald.shared_store import Precondition, Put
 from toucandeald.steady_clock import pause, steady_seconds
 from toucandeald.work_stopper import WorkStopper
 
@@ -61,8 +54,6 @@
 
 STOP_REQUEST_INTERVAL_S = 0.1  # between requests to the peers to stop work
 POLL_INTERVAL_S = 0.005  # between checks of the peers' confirmations
-ORDER_TIMEOUT_S = 1.5  # for the answer to a promotion order
-ORDER_MARGIN_S = 0.3  # lock time that must remain when an order is sent
 EFFECT_TIMEOUT_S = 3.0  # for an accepted order; then the promotion is repeated
 EFFECT_POLL_INTERVAL_S = 0.15
 ABANDONED_RETRY_DELAY_S = 0.3  # before an abandoned promotion is retried
@@ -84,6 +75,7 @@
     ) -> None:
         """Initialize with the components that the steps use."""
         self._locks = PromotionLockManager(clock, tables, state, store)
+        self._orders = PromotionOrders(clock, tables.name, store, self._locks)
         self._choice = PromotionChoice(clock, tables, watch, reports)
         self._work_stopper = work_stopper
         self._clock = clock
@@ -316,45 +308,10 @@
                 held_lock, record.primary, record.term
             )
             raise PromotionAbandoned('no replica can take over')
-        held_lock = await self._order(held_lock, chosen)
+        held_lock = await self._orders.send(held_lock, chosen)
         term = await self._wait_for_effect(held_lock, chosen, term)
         await self._complete_promotion(held_lock, chosen.name, term)
 
-    async def _order(self, held_lock: HeldLock, chosen: Server) -> HeldLock:
-        """Send the promotion order until it is accepted."""
-        record = held_lock.record
-        while True:
-            self._locks.check_era(held_lock.token.era)
-            if steady_seconds() > held_lock.held_until - ORDER_MARGIN_S:
-                held_lock = await self._locks.renew(held_lock)
-            try:
-                answer = await self._store.promote(
-                    record.group,
-                    chosen.name,
-                    self._tables.name,
-                    fencing_token(held_lock.token),
-                    ORDER_TIMEOUT_S,
-                )
-            except StoreUnavailable as error:
-                log_event(
-                    'promotion',
-                    group=record.group,
-                    step='no answer',
-                    reason=str(error),
-                )
-                await pause(self._clock, RETRY_DELAY_S)
-                continue
-            log_event(
-                'promotion',
-                group=record.group,
-                step='ordered',
-                server=chosen.name,
-                answer=answer.value,
-            )
-            if answer is PromoteAnswer.NOT_RUNNING:
-                raise PromotionAbandoned(f'{chosen.name} is not running')
-            return held_lock
-
     async def _wait_for_effect(
         self, held_lock: HeldLock, chosen: Server, term: int
     ) -> int:
--- a/packages/toucandeald/src/toucandeald/promotion_lock.py
+++ b/packages/toucandeald/src/toucandeald/promotion_lock.py
@@ -12,7 +12,7 @@
 from toucandeal.errors import PromotionAbandoned, StoreUnavailable
 from toucandeal.fleet import GroupRecord
 from toucandeal.fleet_tables import FleetTables, group_state
-from toucandeal.promotion import LOCK_DURATION_S
+from toucandeal.promotion import LOCK_DURATION_S, RESUME_MARGIN_S
 from toucandeal.store_versions import StoreVersion
 from toucandeald.logs import log_event
 from toucandeald.shared_records import (
@@ -29,15 +29,12 @@
 from toucandeald.steady_clock import pause, steady_seconds
 
 __all__ = [
-    'RESUME_MARGIN_S',
     'RETRY_DELAY_S',
     'HeldLock',
     'PromotionLockManager',
 ]
 
 RETRY_DELAY_S = 0.1  # after a call that the store did not answer
-# After LOCK_DURATION_S, before another proxy may take over.
-RESUME_MARGIN_S = 0.5
 
 
 class HeldLock(NamedTuple):
--- a/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
@@ -201,17 +201,21 @@
             row = rows.get(condition.key)
             version = NO_VERSION if row is None else row.version
             if version != condition.version:
+                self._require_answer()
                 keys = {each.key for each in preconditions}
                 return Conflict([rows[key] for key in keys & rows.keys()])
         for put in puts:
             self.store.put(put.key, put.content, self.name)
         for _, key in removes:
             rows.pop(key, None)
-        if self.name in self.store.unanswered:
-            raise StoreUnavailable('No answer', 'Wait', uncertain=True)
+        self._require_answer()
         await self._call()
         return Committed(self.store.version())
 
+    def _require_answer(self):
+        if self.name in self.store.unanswered:
+            raise StoreUnavailable('No answer', 'Wait', uncertain=True)
+
     async def _call(self):
         if self.name in self.cut:
             await self.store.pass_time(0.3)
--- a/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
@@ -14,10 +14,13 @@
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import FleetConfiguration, InteractiveGroup, Server
 from toucandeal.positions import LogPosition
-from toucandeal.promotion import LOCK_DURATION_S, ServerReport
+from toucandeal.promotion import (
+    LOCK_DURATION_S,
+    RESUME_MARGIN_S,
+    ServerReport,
+)
 from toucandeal.store_versions import fencing_token
 from toucandeald.promoter import Promoter
-from toucandeald.promotion_lock import RESUME_MARGIN_S
 from toucandeald.session_messages import lost
 from toucandeald.shared_records import PROMOTION_LOCK_KEY, decode_records
 from toucandeald.shared_store import PromoteAnswer
@@ -46,16 +49,18 @@
 
     def __init__(self, fleet):
         self.orders = []
+        self.sent = 0
         self.leaders = {group: f'{group}-primary' for group in GROUPS}
         self.terms = collections.Counter(dict.fromkeys(GROUPS, 1))
         # By proxy, how long its next orders take; no answer reaches it.
         self.delays_s = {}
         self._fleet = fleet
 
-    async def promote(self, group, server, holder, token, until):
-        """Receive an order, and answer it before `until`."""
+    async def promote(self, group, server, holder, token, deadline):
+        """Receive an order, and answer it before the deadline."""
         clock = self._fleet.clock
         sent_at = clock.now
+        self.sent += 1
         delay_s = self.delays_s.get(holder)
         if delay_s is None:
             await pause(clock, ORDER_LATENCY_S)
@@ -63,14 +68,14 @@
                 group, Order(holder, server, token, sent_at, clock.now)
             )
             return PromoteAnswer.ACCEPTED
-        if sent_at + delay_s <= until + RESUME_MARGIN_S:
+        if sent_at + delay_s < deadline + RESUME_MARGIN_S:
             clock.callLater(
                 delay_s,
                 self._arrive,
                 group,
                 Order(holder, server, token, sent_at, sent_at + delay_s),
             )
-        await pause(clock, until - sent_at)
+        await pause(clock, deadline - sent_at)
         raise StoreUnavailable('No answer', 'Wait', uncertain=True)
 
     def _arrive(self, group, order):
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -64,6 +64,37 @@
     assert not fleet.without_lease()
 
 
+def test_no_order_leaves_after_a_renewal_that_outlasts_the_lock(fleet):
+    # Guards against an order with a lock that has ended: it was sent without a
+    # second look at the clock after a renewal whose answers were lost.
+    fleet.reports.delay_s = 0.9  # so that the lock is renewed before the order
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: fleet.lock_holder() == 'p0')
+    acquired = fleet.lock_row().version
+    fleet.store.unanswered.add('p0')
+    fleet.run_until(lambda: fleet.lock_row().version != acquired)
+    fleet.run(2.1, step_s=0.01)
+    fleet.store.unanswered.clear()
+    fleet.run(6.0)
+    fleet.check()
+    assert fleet.primary(FIRST) == f'{FIRST}-replica'
+
+
+def test_an_order_in_a_socket_arrives_before_the_next_holder_acts(fleet):
+    # Guards against a lower token after a higher one: an order near the end of
+    # the lock waited on a cut link for as long as its answer could take.
+    fleet.reports.delay_s = 0.8
+    fleet.service.delays_s['p0'] = 1.9
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: fleet.service.sent)
+    fleet.cut_from_store.add('p0')
+    fleet.reports.delay_s = 0.005
+    fleet.replace_primary('p1', SECOND)
+    fleet.run(6.0)
+    assert 'p1' in {order.holder for order in fleet.service.orders}
+    fleet.check()
+
+
 def ends(steps, group):
     """Return how the promotions of a group ended, and the lock of each."""
     return [
