Take over the lock of an earlier process of the same name after its end only

Cause: a proxy that found its own name in the lock's row acquired the lock without waiting for its end, though another process had written the row.

Change: the nonce in the row begins with a word drawn once a process, and the name is not looked at. The row's format is unchanged.

Before the change test_a_restarted_holder_waits_for_the_lock_of_its_earlier_ process failed: the row was overwritten 1.0 s before the lock had ended. The simulated fleet stops a killed proxy's calls for that.

Cost, by construction: such a restarted holder resumes its promotion up to 2.5 s later.

--- a/packages/toucandeald/src/toucandeald/promotion_lock.py
+++ b/packages/toucandeald/src/toucandeald/promotion_lock.py
@@ -19,6 +19,7 @@
     ERA_KEY,
     PROMOTION_LOCK_KEY,
     RECORDS_TABLE,
+    PromotionLock,
     encode_group,
     encode_promotion_lock,
     group_key,
@@ -56,6 +57,9 @@
         self._tables = tables
         self._state = state
         self._store = store
+        # Each nonce begins with it, which tells this process from an earlier
+        # one of the same name.
+        self._process = secrets.token_hex(8)
 
     async def acquire(self, begun_record: GroupRecord) -> HeldLock:
         """Acquire the lock and record that a promotion has begun.
@@ -72,16 +76,27 @@
         """
         promotion_lock = self._state.promotion_lock
         now = steady_seconds()
-        if promotion_lock.holder not in {'', self._tables.name} and (
-            now - self._state.lock_seen_at < LOCK_DURATION_S + RESUME_MARGIN_S
+        lock_age_s = now - self._state.lock_seen_at
+        if self._is_held_by_another(promotion_lock) and (
+            lock_age_s < LOCK_DURATION_S + RESUME_MARGIN_S
         ):
             raise PromotionAbandoned(
-                f'{promotion_lock.holder} holds the promotion lock'
+                f'another process, named {promotion_lock.holder}, holds the '
+                'promotion lock'
             )
         return await self._acquire_lock(
             begun_record, begun_record.version, promotion_lock.version
         )
 
+    def _is_held_by_another(self, promotion_lock: PromotionLock) -> bool:
+        """Return whether another process holds the lock.
+
+        It may be an earlier process of this name, whose orders may still be
+        under way.
+        """
+        own = promotion_lock.nonce.startswith(self._process)
+        return bool(promotion_lock.holder) and not own
+
     async def _acquire_lock(
         self,
         record: GroupRecord,
@@ -93,7 +108,7 @@
         A call whose answer was lost may still take effect, so it is repeated
         under the same preconditions until its outcome is certain.
         """
-        nonce = secrets.token_hex(8)
+        nonce = f'{self._process}{secrets.token_hex(8)}'
         begun_era = self._state.era
         own = self._tables.primary_lease.registered.get(self._tables.name)
         if own is None or own.silent:
--- a/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
@@ -166,6 +166,7 @@
         self.store = store
         self.name = name
         self.cut = cut
+        self.stopped = False
 
     async def read_all(self, table):
         """Return the rows."""
@@ -217,6 +218,8 @@
             raise StoreUnavailable('No answer', 'Wait', uncertain=True)
 
     async def _call(self):
+        if self.stopped:
+            await defer.Deferred()  # the process is gone
         if self.name in self.cut:
             await self.store.pass_time(0.3)
             raise StoreUnavailable('The link is cut', 'Wait')
@@ -251,10 +254,11 @@
         )
         self.name = name
         self.tables = FleetTables(name, domain)
+        self.client = StoreClient(fleet.store, name, fleet.cut_from_store)
         self.state = SharedState(
             fleet.clock,
             self.tables,
-            StoreClient(fleet.store, name, fleet.cut_from_store),
+            self.client,
             SharedTables('c', 'c', decode_configuration, 's', ValueError),
             self.own,
         )
@@ -340,6 +344,7 @@
         """Stop a proxy for good."""
         self.proxies[name].running = False
         self.proxies[name].state.stopped = True
+        self.proxies[name].client.stopped = True
 
     def marked(self):
         """Return the proxies whose rows are marked as silent."""
--- a/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 import eliot
+from twisted.internet import defer
 
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import FleetConfiguration, InteractiveGroup, Server
@@ -19,7 +20,7 @@
     RESUME_MARGIN_S,
     ServerReport,
 )
-from toucandeal.store_versions import fencing_token
+from toucandeal.store_versions import StoreVersion, fencing_token
 from toucandeald.promoter import Promoter
 from toucandeald.session_messages import lost
 from toucandeald.shared_records import PROMOTION_LOCK_KEY, decode_records
@@ -234,8 +235,9 @@
 
     def _note_write(self, writer, before, row):
         if row.key == PROMOTION_LOCK_KEY:
+            process = (writer, self.proxies[writer].own.incarnation)
             self.lock_writes.append(
-                LockWrite(self.clock.now, writer, holder_in(row), row.version)
+                LockWrite(self.clock.now, process, holder_in(row), row.version)
             )
 
     def _add_promoter(self, proxy):
@@ -248,13 +250,18 @@
                 )
         work = Work(self.busy_groups)
         stopper = WorkStopper(self.clock, tables, work, work, proxy.gossip)
-        store = proxy.state._store
-        store.promote = self.service.promote
+
+        async def promote(*order):
+            if not proxy.running:
+                await defer.Deferred()
+            return await self.service.promote(*order)
+
+        proxy.client.promote = promote
         proxy.promoter = Promoter(
             self.clock,
             tables,
             proxy.state,
-            store,
+            proxy.client,
             proxy.gossip,
             Watch(),
             stopper,
@@ -278,9 +285,9 @@
     """A write of the lock's row."""
 
     at: float
-    writer: str
+    writer: tuple[str, int]  # a proxy and its incarnation
     holder: str
-    version: tuple
+    version: StoreVersion
 
 
 def holder_in(row):
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -95,6 +95,22 @@
     fleet.check()
 
 
+def test_a_restarted_holder_waits_for_the_lock_of_its_earlier_process(fleet):
+    # Guards against a lower token after a higher one: the process that came
+    # back under the holder's name took the lock at once, while an order of the
+    # one before was under way.
+    fleet.service.delays_s['p0'] = 1.0
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: fleet.service.sent)
+    fleet.kill('p0')
+    fleet.service.delays_s.clear()
+    fleet.start('p0', registered=True, incarnation=2)
+    fleet.replace_primary('p0', FIRST)
+    fleet.run(6.0)
+    assert fleet.primary(FIRST) == f'{FIRST}-replica'
+    fleet.check()
+
+
 def ends(steps, group):
     """Return how the promotions of a group ended, and the lock of each."""
     return [
