Keep the promotion lock while an order without an answer is under way

Cause: after an order without an answer, the holder renewed the lock and ordered again under a higher token, or released the lock, or left the promotion, whose end lets peers confirm the records of a restored store and so free the lock. The first order could still be on its way.

Change: such an order counts as under way for 0.5 s after its connection was aborted, which is the time that others wait after the end of a lock. Until then the holder neither renews nor releases the lock, and the promotion counts as begun in its heartbeats.

Before the change the three tests failed: a falling token after a renewal; the lock released at 1010.10 s while the order arrived at 1010.31 s; no group counted as under way before the order had arrived.

Cost: up to 0.5 s until the new primary is recorded, only after an order without an answer.

--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -10,7 +10,11 @@
 5. Record the new primary.
 """
 
-from toucandeal.errors import PromotionAbandoned, StoreUnavailable
+from toucandeal.errors import (
+    PromotionAbandoned,
+    StoreUnavailable,
+    ToucandealError,
+)
 from toucandeal.fleet import GroupRecord, Server
 from toucandeal.fleet_tables import FleetTables, group_state
 from toucandeal.primary_lease import leases_expired_at, may_begin_promotion
@@ -223,6 +227,10 @@
             held_lock = await self._begin(name, trigger)
             await self._wait_for_peers(held_lock)
             await self._choose_and_order(name, held_lock, trigger)
+        except ToucandealError:
+            # The promotion is not over while an order may take effect.
+            await self._orders.settle()
+            raise
         finally:
             primary_lease.promoting_groups.discard(name)
 
@@ -333,6 +341,7 @@
         self, held_lock: HeldLock, primary: str, term: int
     ) -> None:
         """Record the group's primary and send the record to the peers."""
+        await self._orders.settle()
         await self._locks.complete_promotion(held_lock, primary, term)
         self._watch.stepped_down.pop(held_lock.record.group, None)
         self._gossip.send_records()
--- a/packages/toucandeald/src/toucandeald/promotion_orders.py
+++ b/packages/toucandeald/src/toucandeald/promotion_orders.py
@@ -1,8 +1,14 @@
-"""Send promotion orders while this proxy holds the promotion lock."""
+"""Send promotion orders while this proxy holds the promotion lock.
+
+An order without an answer may still reach the platform. Until it can't any
+more, the lock is neither renewed, which would raise the token, nor released.
+"""
+
+import math
 
 from toucandeal.errors import PromotionAbandoned, StoreUnavailable
 from toucandeal.fleet import Server
-from toucandeal.promotion import order_deadline
+from toucandeal.promotion import RESUME_MARGIN_S, order_deadline
 from toucandeal.store_versions import fencing_token
 from toucandeald.logs import log_event
 from toucandeald.promotion_lock import (
@@ -27,6 +33,14 @@
         self._holder = holder
         self._store = store
         self._locks = locks
+        # When orders without an answer have arrived, or never will.
+        self._settled_at = -math.inf
+
+    async def settle(self) -> None:
+        """Wait until no order without an answer can arrive any more."""
+        remaining_s = self._settled_at - steady_seconds()
+        if remaining_s > 0:
+            await pause(self._clock, remaining_s)
 
     async def send(self, held_lock: HeldLock, chosen: Server) -> HeldLock:
         """Send an order until it is accepted, and return the lock.
@@ -43,6 +57,7 @@
             self._locks.check_era(held_lock.token.era)
             deadline = order_deadline(held_lock.held_until, steady_seconds())
             if deadline is None:
+                await self.settle()
                 held_lock = await self._locks.renew(held_lock)
             else:
                 answer = await self._send_once(held_lock, chosen, deadline)
@@ -70,6 +85,9 @@
                 deadline,
             )
         except StoreUnavailable as error:
+            if error.uncertain:
+                # The connection has been aborted.
+                self._settled_at = steady_seconds() + RESUME_MARGIN_S
             log_event(
                 'promotion',
                 group=held_lock.record.group,
--- a/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
@@ -53,8 +53,9 @@
         self.sent = 0
         self.leaders = {group: f'{group}-primary' for group in GROUPS}
         self.terms = collections.Counter(dict.fromkeys(GROUPS, 1))
-        # By proxy, how long its next orders take; no answer reaches it.
+        # By proxy, how long its next order takes; no answer reaches it.
         self.delays_s = {}
+        self.effect_s = EFFECT_S
         self._fleet = fleet
 
     async def promote(self, group, server, holder, token, deadline):
@@ -62,7 +63,7 @@
         clock = self._fleet.clock
         sent_at = clock.now
         self.sent += 1
-        delay_s = self.delays_s.get(holder)
+        delay_s = self.delays_s.pop(holder, None)
         if delay_s is None:
             await pause(clock, ORDER_LATENCY_S)
             self._arrive(
@@ -83,7 +84,7 @@
         self.orders.append(order)
         if self.leaders[group] != order.server:
             self._fleet.clock.callLater(
-                EFFECT_S, self._lead, group, order.server
+                self.effect_s, self._lead, group, order.server
             )
 
     def _lead(self, group, server):
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -103,7 +103,6 @@
     fleet.replace_primary('p0', FIRST)
     fleet.run_until(lambda: fleet.service.sent)
     fleet.kill('p0')
-    fleet.service.delays_s.clear()
     fleet.start('p0', registered=True, incarnation=2)
     fleet.replace_primary('p0', FIRST)
     fleet.run(6.0)
@@ -111,6 +110,45 @@
     fleet.check()
 
 
+def test_a_renewal_waits_for_an_order_without_an_answer(fleet):
+    # Guards against a lower token after a higher one from the same holder: it
+    # renewed the lock while an order of the token before was under way.
+    fleet.reports.delay_s = 0.8  # the lock ends soon after the first order
+    fleet.service.delays_s['p0'] = 0.75
+    fleet.replace_primary('p0', FIRST)
+    fleet.run(8.0)
+    assert len({order.token for order in fleet.service.orders}) == 2
+    assert fleet.primary(FIRST) == f'{FIRST}-replica'
+    fleet.check()
+
+
+def test_the_lock_is_not_released_before_an_order_without_an_answer(fleet):
+    # Guards against a lower token after a higher one: the lock was released
+    # while an order was under way that a second one had made superfluous.
+    fleet.service.delays_s['p0'] = 1.98
+    fleet.service.effect_s = 0.01
+    fleet.replace_primary('p0', FIRST)
+    fleet.run(6.0)
+    assert fleet.primary(FIRST) == f'{FIRST}-replica'
+    released = [write for write in fleet.lock_writes if not write.holder]
+    assert len(fleet.service.orders) == 2
+    assert released[-1].at >= fleet.service.orders[-1].arrived_at
+    fleet.check()
+
+
+def test_a_promotion_counts_as_under_way_while_an_order_is(fleet):
+    # Guards against an order that reaches the platform after one of the next
+    # era: a proxy that has begun no promotion lets the others confirm the
+    # restored records, which frees the lock.
+    proxy = fleet.proxies['p0']
+    fleet.service.delays_s['p0'] = 1.98
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: fleet.service.sent)
+    proxy.state.note_era(2)
+    fleet.run_until(lambda: not proxy.tables.primary_lease.promoting_groups)
+    assert fleet.service.orders
+
+
 def ends(steps, group):
     """Return how the promotions of a group ended, and the lock of each."""
     return [
