Confirm restored records only after the remembered lock has ended

Cause: confirming the records empties the lock's row. Members marked as silent are left out of the question whether a promotion has begun, and one of them may hold the lock for up to 2 s more.

Change: recovery_step waits until the promotion lock that this proxy remembers has ended, 2.5 s after it was first seen, as an acquisition does. Both use lock_ends_at, a plain function. Leases between peers go on meanwhile.

Before the change the step was CONFIRM at once; test_a_silent_holder_delays_the_confirmation_until_its_lock_has_ended fails there, as the function has no such parameter.

--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -24,6 +24,7 @@
     'best_replica',
     'is_unverified',
     'leads_since',
+    'lock_ends_at',
     'order_deadline',
     'promotion_delay_s',
     'promotion_trigger',
@@ -237,6 +238,31 @@
     return report is not None and report.is_primary and report.term >= term
 
 
+def lock_ends_at(holder: str, seen_at: float) -> float:
+    """Return when another proxy may act as if the promotion lock had ended.
+
+    Parameters
+    ----------
+    holder : str
+        Empty while the lock is free.
+    seen_at : float
+        When the holder's last write of the lock was first seen, in seconds.
+
+    Returns
+    -------
+    float
+        Seconds; minus infinity while the lock is free.
+
+    Examples
+    --------
+    >>> lock_ends_at('p1', 10.0), lock_ends_at('', 10.0)
+    (12.5, -inf)
+    """
+    if not holder:
+        return -math.inf
+    return seen_at + LOCK_DURATION_S + RESUME_MARGIN_S
+
+
 def order_deadline(held_until: float, now: float) -> float | None:
     """Return until when a promotion order may take, or None.
 
--- a/packages/toucandeal/src/toucandeal/store_recovery.py
+++ b/packages/toucandeal/src/toucandeal/store_recovery.py
@@ -6,13 +6,15 @@
 
 - A proxy that remembers the records writes them again, once every proxy that
   counted for the leases confirms that it knows of the new era and has begun no
-  promotion that this proxy has not heard of. Leases that peers grant each
-  other continue meanwhile, so callers notice nothing.
+  promotion that this proxy has not heard of, and once the promotion lock of
+  before has ended: its holder may be silent and still send an order. Leases
+  that peers grant each other continue meanwhile, so callers notice nothing.
 - Otherwise, once every promotion of before has ended, a proxy marks all groups
   as changing. The servers then report which of them leads each group.
 """
 
 import enum
+import math
 
 from toucandeal.fleet import GroupRecord, ProxyRecord
 from toucandeal.primary_lease import (
@@ -50,6 +52,7 @@
     now: float,
     *,
     nothing_recorded: bool = False,
+    lock_ends_at: float = -math.inf,
 ) -> RecoveryStep:
     """Return the next step towards valid records in the store's new era.
 
@@ -62,9 +65,14 @@
         Seconds.
     nothing_recorded : bool
         Whether the whole system starts for the first time, without records.
+    lock_ends_at : float
+        When the promotion lock that this proxy remembers has surely ended, in
+        seconds.
     """
     if own.name not in counted_proxies(lease):
         return RecoveryStep.WAIT
+    if now < lock_ends_at:
+        return RecoveryStep.WAIT
     if nothing_recorded or all_members_confirm(lease, own):
         return RecoveryStep.CONFIRM
     if now - lease.era_began_at >= ERA_SETTLE_S:
--- a/packages/toucandeal/src/toucandeal/tests/test_store_recovery.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_store_recovery.py
@@ -74,6 +74,20 @@
     assert step is RecoveryStep.MARK_CHANGING
 
 
+def test_a_silent_holder_delays_the_confirmation_until_its_lock_has_ended():
+    # Guards against a lower fencing token after a higher one: a holder that no
+    # peer heard could still send its order when the records were confirmed,
+    # which frees the lock.
+    lease = _lease_in_new_era()
+    _grant_all(lease, 20.2)
+    lease.members['p3'] = PROXIES['p3']._replace(silent=True)
+    own = PROXIES['p1']
+    step = recovery_step(lease, own, 20.3, lock_ends_at=21.0)
+    assert step is RecoveryStep.WAIT
+    step = recovery_step(lease, own, 21.0, lock_ends_at=21.0)
+    assert step is RecoveryStep.CONFIRM
+
+
 def test_a_proxy_with_an_old_list_of_members_confirms_nothing():
     lease = _lease_in_new_era(list_age_s=PEER_LEASE_LIMIT_S + 0.1)
     _grant_all(lease, 20.2)
--- a/packages/toucandeald/src/toucandeald/promotion_lock.py
+++ b/packages/toucandeald/src/toucandeald/promotion_lock.py
@@ -12,7 +12,7 @@
 from toucandeal.errors import PromotionAbandoned, StoreUnavailable
 from toucandeal.fleet import GroupRecord
 from toucandeal.fleet_tables import FleetTables, group_state
-from toucandeal.promotion import LOCK_DURATION_S, RESUME_MARGIN_S
+from toucandeal.promotion import LOCK_DURATION_S, lock_ends_at
 from toucandeal.store_versions import StoreVersion
 from toucandeald.logs import log_event
 from toucandeald.shared_records import (
@@ -75,11 +75,7 @@
             Another proxy holds the lock, or acquired it first.
         """
         promotion_lock = self._state.promotion_lock
-        now = steady_seconds()
-        lock_age_s = now - self._state.lock_seen_at
-        if self._is_held_by_another(promotion_lock) and (
-            lock_age_s < LOCK_DURATION_S + RESUME_MARGIN_S
-        ):
+        if self._is_held_by_another(promotion_lock):
             raise PromotionAbandoned(
                 f'another process, named {promotion_lock.holder}, holds the '
                 'promotion lock'
@@ -89,13 +85,14 @@
         )
 
     def _is_held_by_another(self, promotion_lock: PromotionLock) -> bool:
-        """Return whether another process holds the lock.
+        """Return whether another process may hold the lock.
 
         It may be an earlier process of this name, whose orders may still be
         under way.
         """
         own = promotion_lock.nonce.startswith(self._process)
-        return bool(promotion_lock.holder) and not own
+        ends_at = lock_ends_at(promotion_lock.holder, self._state.lock_seen_at)
+        return not own and steady_seconds() < ends_at
 
     async def _acquire_lock(
         self,
--- a/packages/toucandeald/src/toucandeald/store_recovery.py
+++ b/packages/toucandeald/src/toucandeald/store_recovery.py
@@ -5,6 +5,7 @@
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import GroupRecord, ProxyRecord
 from toucandeal.fleet_tables import FleetTables
+from toucandeal.promotion import lock_ends_at
 from toucandeal.store_recovery import (
     RecoveryStep,
     recovery_step,
@@ -80,6 +81,9 @@
             and not self._tables.groups
             and unconfirmed is not None
             and not unconfirmed.groups,
+            lock_ends_at=lock_ends_at(
+                self._state.promotion_lock.holder, self._state.lock_seen_at
+            ),
         )
 
     def _ended(self) -> None:
