Pause reading from callers that send faster than their requests run

Cause: a connection queued every line that arrived as a text of its own, without a limit, while its requests run one at a time. Replies that a caller does not read were buffered without a limit as well.

Change: input behind the running request stays unparsed, and reading pauses at 32 KB a session or when all sessions have read ahead a sixteenth of memoryMb. A session without input of its own always reads. An incomplete request above 32 KB is refused while that memory is used up. Replies that are not read stop the session's next request, and close it after 10 s, with a log line. The decisions are plain functions in read_ahead.py.

Not covered: session values and prepared names, and messages between proxies.

--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -39,6 +39,7 @@
 from toucandeald.promoter import Promoter
 from toucandeald.rate_admission import RateAdmission, busiest_workspaces
 from toucandeald.rate_coordination import RateCoordination
+from toucandeald.read_ahead import ReadBudget
 from toucandeald.server_pools import ServerPools
 from toucandeald.server_reports import ServerReports
 from toucandeald.session_service import SessionService
@@ -70,7 +71,7 @@
 
     store: Any
     open_link: OpenConnection
-    listen: Callable[[Any, str, SessionService], defer.Deferred]
+    listen: Callable[[Any, str, SessionService, ReadBudget], defer.Deferred]
     shared: SharedTables
     probe_path: tuple[bytes, ...]
     metrics_path: bytes
@@ -249,7 +250,10 @@
         A port can't be used.
     """
     parts.shutdown.listening = await parts.ports.listen(
-        reactor, settings.listen_sessions, parts.service
+        reactor,
+        settings.listen_sessions,
+        parts.service,
+        ReadBudget(settings.memory_mb),
     )
     if settings.revocation_limit_s is not None:
         FreshnessCalls(reactor, parts.tables, parts.state).start()
--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -68,6 +68,8 @@
         additional wait. None keeps the fixed preference for the own domain.
     link_mbps : float or None
         Bandwidth of the machine's link; None if it is not known.
+    memory_mb : float or None
+        Memory at which the process is killed, in MB; None if it is not known.
     drain_s : float
         How long a server that is leaving may get operations.
     """
@@ -85,3 +87,4 @@
     crossing_cost_s: float | None = None
     link_mbps: float | None = None
     drain_s: float = math.inf
+    memory_mb: float | None = None
