Limit the values and prepared statements of a session

What callers may see: a proxy that is killed for its memory, with all sessions, by a caller that sets ever more values or prepares ever more names.

Cause: both last until the session ends, and had no limit but that of a line.

Change: SET and PREPARE beyond 64 KB a session are answered with MALFORMED and a reason. exceeds_state_limit is a plain function; change_session becomes public for its test.

Before the change the code had no such reply, so each SET and PREPARE of test_the_values_and_names_of_a_session_have_a_limit was done.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -23,12 +23,19 @@
     'ResetSession',
     'SetValue',
     'SetupStep',
+    'STATE_LIMIT_BYTES',
     'apply_step',
+    'exceeds_state_limit',
     'setup_steps',
     'shape_name',
 ]
 
 
+# Of a session's values and prepared statements, with their names.
+STATE_LIMIT_BYTES = 65_536
+_ENTRY_BYTES = 100  # of memory for each, besides the text
+
+
 class PreparedShape(NamedTuple):
     """What a prepared statement does."""
 
@@ -125,6 +132,34 @@
         return 'failed' if self.transaction.failure else 'open'
 
 
+def exceeds_state_limit(session: CallerSession, name: str, text: str) -> bool:
+    """Return whether a value or prepared statement would be too much.
+
+    It answers a flood of values and names, which last until the session ends.
+
+    Parameters
+    ----------
+    session : CallerSession
+    name, text : str
+        Of the value or prepared statement, and its setting or shape.
+
+    Examples
+    --------
+    >>> session = CallerSession(1, 'db')
+    >>> exceeds_state_limit(session, 'zone', 'a')
+    False
+    >>> exceeds_state_limit(session, 'zone', 'a' * STATE_LIMIT_BYTES)
+    True
+    """
+    texts = itertools.chain(
+        [(name, text)],
+        (entry for entry in session.values.items() if entry[0] != name),
+        ((known, each.shape) for known, each in session.prepared.items()),
+    )
+    used = sum(len(known) + len(each) + _ENTRY_BYTES for known, each in texts)
+    return used > STATE_LIMIT_BYTES
+
+
 def shape_name(prepared: PreparedShape) -> str:
     """Return the proxy's name for a shape on server connections.
 
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -8,9 +8,11 @@
 import itertools
 
 from toucandeal.caller_sessions import (
+    STATE_LIMIT_BYTES,
     CallerSession,
     OpenTransaction,
     PreparedShape,
+    exceeds_state_limit,
 )
 from toucandeal.fleet import Statement, Verb
 from toucandeal.fleet_tables import FleetTables
@@ -24,7 +26,7 @@
 from toucandeald.session_messages import CallerReply, ReplyKind
 from toucandeald.steady_clock import pause, steady_seconds
 
-__all__ = ['SessionService']
+__all__ = ['SessionService', 'change_session']
 
 BEGIN_STATEMENTS = {Verb.BEGIN, Verb.BEGIN_READ}
 LOCAL_STATEMENTS = {Verb.SET, Verb.PREPARE, Verb.DEALLOCATE}
@@ -266,7 +268,7 @@
         if statement.verb in BEGIN_STATEMENTS:
             return self._begin(session, statement, began_at)
         if statement.verb in LOCAL_STATEMENTS:
-            return _change_session(session, statement)
+            return change_session(session, statement)
         forward = functools.partial(
             self._forwarding.forward, session, identity, statement, began_at
         )
@@ -309,9 +311,17 @@
     return session is None or session.state == 'idle'
 
 
-def _change_session(
-    session: CallerSession, statement: Statement
-) -> CallerReply:
+def change_session(session: CallerSession, statement: Statement) -> CallerReply:
+    """Change a session's values or prepared statements."""
+    if statement.verb is not Verb.DEALLOCATE and exceeds_state_limit(
+        session, statement.name, statement.argument
+    ):
+        return reply(
+            session,
+            ReplyKind.MALFORMED,
+            'the values and prepared statements of a session may have '
+            f'{STATE_LIMIT_BYTES} bytes at most',
+        )
     match statement.verb:
         case Verb.SET:
             session.values[statement.name] = statement.argument
