Number loans so that no two processes of a name share one

Cause: a lender's answer names the loan and the request, both numbered from 1 in each process, and not the borrower's incarnation. One to the earlier process was taken for one to the present process.

Change: a loan's identity begins with the borrower's incarnation. No message changes, so a build before reads it, and appending the incarnation to answers is not needed.

Before the change test_an_answer_to_an_earlier_process_is_not_taken_for_an_own_ one failed: the answer of the earlier loan completed the new one's request. Cost: up to 8 bytes a message; not measured.

--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -59,6 +59,10 @@
 # Time without any lender; heartbeats of live peers arrive within it.
 NO_LENDER_TIMEOUT_S = 1.0
 
+# Bits of a loan's identity below the incarnation of the borrower. Answers do
+# not name the incarnation, and those to an earlier process may come late.
+LOAN_NUMBER_BITS = 32
+
 OPEN_DIRECTLY = ''
 NO_LENDER = '-'
 NOT_LENT = ServerAnswer(
@@ -187,7 +191,7 @@
         self._clock = clock
         self._tables = tables
         self._own = own
-        self._loan_ids = itertools.count(1)
+        self._loan_ids = itertools.count(own.incarnation << LOAN_NUMBER_BITS)
         self._pending: dict[int, _PendingLoan] = {}
         self._connections: dict[int, BorrowedConnection] = {}
         self._no_lender_since: dict[str, float] = {}
--- a/packages/toucandeald/src/toucandeald/lending_wire.py
+++ b/packages/toucandeald/src/toucandeald/lending_wire.py
@@ -53,11 +53,12 @@
 class LoanRequest(msgspec.Struct, tag='w', array_like=True):
     """A request for a connection to `server` within `wait_s`.
 
-    `loan_id` identifies the loan among those of the sender's incarnation. The
-    connection has to be one of `workspace`; None is any, for the sender's own
-    requests. `priority`, `database` and `late_in_s`, the remaining time until
-    it is late, are those of the statement that the connection is for; a sender
-    without them gives None, and its statement is late after `wait_s`.
+    `loan_id` identifies the loan among all of the sender's name; a build before
+    gives the same ones in each of its processes. The connection has to be one
+    of `workspace`; None is any, for the sender's own requests. `priority`,
+    `database` and `late_in_s`, the remaining time until it is late, are those
+    of the statement that the connection is for; a sender without them gives
+    None, and its statement is late after `wait_s`.
     """
 
     sender: str
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -450,3 +450,21 @@
     pair.clock.advance(LENDER_SILENT_S + 0.1)
     pair.borrowing.tick(pair.clock.seconds())
     assert results[0].kind is AnswerKind.NO_CONNECTION
+
+
+def test_an_answer_to_an_earlier_process_is_not_taken_for_an_own_one(pair):
+    # Guards against rows of another statement: the loans and requests of each
+    # process had the same numbers, and a restarted borrower is known to its
+    # lender only some heartbeats later.
+    earlier = pair.borrow_connection()
+    earlier.call(BeginTransaction(read_only=True), 1.0)
+    restarted = pair.records['b']._replace(incarnation=2)
+    pair.borrowing = Borrowing(pair.clock, pair.tables['b'], restarted)
+    pair.borrowing.send = pair.send
+    own = pair.borrow_connection()
+    results = []
+    own.call(BeginTransaction(read_only=True), 1.0).addCallback(results.append)
+    pair.connections[0].pending[0].callback(DONE)
+    assert not results
+    pair.connections[1].pending[0].callback(DONE)
+    assert results == [DONE]
