Wait for an earlier order before the old primary is recorded again

Cause: a promotion in which no replica can take over ends with the old primary. In one that was resumed, the order of the earlier holder may take effect after that.

Change: for 3 s after a proxy has found a promotion unfinished, or has sent an order itself, such an attempt is abandoned and repeated, which finds the new primary once it leads. Then the old primary is recorded as before.

Before the change test_a_resumed_promotion_does_not_end_with_the_old_primary_ too_soon failed: the old primary was recorded, and the replica led 0.25 s later. test_a_group_without_replicas_gets_its_old_primary_back passed before and after.

--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -10,6 +10,8 @@
 5. Record the new primary.
 """
 
+import math
+
 from toucandeal.errors import (
     PromotionAbandoned,
     StoreUnavailable,
@@ -58,7 +60,8 @@
 
 STOP_REQUEST_INTERVAL_S = 0.1  # between requests to the peers to stop work
 POLL_INTERVAL_S = 0.005  # between checks of the peers' confirmations
-EFFECT_TIMEOUT_S = 3.0  # for an accepted order; then the promotion is repeated
+# For an order to take effect; then the promotion is repeated, or given up.
+EFFECT_TIMEOUT_S = 3.0
 EFFECT_POLL_INTERVAL_S = 0.15
 ABANDONED_RETRY_DELAY_S = 0.3  # before an abandoned promotion is retried
 
@@ -92,6 +95,8 @@
         self._running = False
         self._triggered_since: dict[str, float] = {}
         self._stopped_versions: dict[str, dict[str, StoreVersion]] = {}
+        # By group, when each order of earlier promotions has taken effect.
+        self._effect_until: dict[str, float] = {}
         # By group, the record that the last promotion found.
         self._found_records: dict[str, GroupRecord] = {}
 
@@ -241,6 +246,7 @@
         if record is None or self._trigger(name, steady_seconds()) is None:
             raise PromotionAbandoned('the group no longer needs a promotion')
         self._found_records[name] = record
+        self._note_earlier_orders(record)
         return await self._locks.acquire(
             record._replace(
                 changing=True,
@@ -249,6 +255,19 @@
             )
         )
 
+    def _note_earlier_orders(self, found: GroupRecord) -> None:
+        """Note until when an order of an unfinished promotion takes effect.
+
+        Until then the old primary must not be recorded again.
+        """
+        resumed = found.changing and not is_unverified(found)
+        if not resumed:
+            self._effect_until[found.group] = -math.inf
+        elif self._effect_until.get(found.group, -math.inf) == -math.inf:
+            self._effect_until[found.group] = (
+                steady_seconds() + EFFECT_TIMEOUT_S
+            )
+
     async def _wait_for_peers(self, held_lock: HeldLock) -> None:
         """Wait until no proxy works with the old primary."""
         record = held_lock.record
@@ -311,12 +330,17 @@
         chosen, term = await self._choice.choose_replica(
             record, planned=trigger.planned
         )
+        if chosen is None and steady_seconds() < self._effect_until[name]:
+            raise PromotionAbandoned('an earlier order may still take effect')
         if chosen is None:
             await self._complete_promotion(
                 held_lock, record.primary, record.term
             )
             raise PromotionAbandoned('no replica can take over')
-        held_lock = await self._orders.send(held_lock, chosen)
+        try:
+            held_lock = await self._orders.send(held_lock, chosen)
+        finally:
+            self._effect_until[name] = steady_seconds() + EFFECT_TIMEOUT_S
         term = await self._wait_for_effect(held_lock, chosen, term)
         await self._complete_promotion(held_lock, chosen.name, term)
 
--- a/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
@@ -97,6 +97,7 @@
 
     def __init__(self, fleet):
         self.delay_s = REPORT_LATENCY_S
+        self.unreachable = set()  # servers that give no report
         self._fleet = fleet
 
     async def gather(self, servers):
@@ -110,6 +111,7 @@
                 LogPosition(service.terms[server.group], 9),
             )
             for server in servers
+            if server.name not in self.unreachable
         }
 
     async def send_request(self, server, request):
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -149,6 +149,43 @@
     assert fleet.service.orders
 
 
+def test_a_resumed_promotion_does_not_end_with_the_old_primary_too_soon(fleet):
+    # Guards against two servers that lead: the order of the earlier holder took
+    # effect after the old primary had been recorded again, because no replica
+    # gave a report.
+    fleet.reports.delay_s = 0.8
+    fleet.service.effect_s = 4.1  # the platform is slow
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: fleet.service.orders)
+    fleet.kill('p0')
+    fleet.reports.delay_s = 0.005
+    fleet.reports.unreachable.add(f'{FIRST}-replica')
+    fleet.assign('p1', FIRST)
+    recorded = []
+
+    def note_primary():
+        if fleet.service.leaders[FIRST] == f'{FIRST}-replica':
+            fleet.reports.unreachable.clear()
+        recorded.append(fleet.primary(FIRST))
+
+    fleet.run(6.0, note_primary)
+    assert set(recorded) == {None, f'{FIRST}-replica'}
+    fleet.check()
+
+
+def test_a_group_without_replicas_gets_its_old_primary_back(fleet):
+    # Guards against writes that are refused for good while no replica answers.
+    fleet.service.effect_s = 1000
+    order_and_lose_the_store(fleet)
+    fleet.kill('p0')
+    fleet.reports.unreachable.add(f'{FIRST}-replica')
+    fleet.assign('p1', FIRST)
+    recorded = []
+    fleet.run(12.0, lambda: recorded.append(fleet.primary(FIRST)))
+    assert f'{FIRST}-primary' in recorded
+    fleet.check()
+
+
 def ends(steps, group):
     """Return how the promotions of a group ended, and the lock of each."""
     return [
