Count the wait for an earlier order from each take-over

It counts from each take-over from another holder now; own attempts go on with the time of the first.

Found on reading the change. test_each_take_over_waits_for_the_order_of_the_ holder_before is new; on the code before, the third time is that of the first take-over, 20 s ago.

--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -95,7 +95,7 @@
         self._running = False
         self._triggered_since: dict[str, float] = {}
         self._stopped_versions: dict[str, dict[str, StoreVersion]] = {}
-        # By group, when each order of earlier promotions has taken effect.
+        # By group, when all earlier orders have taken effect, or never will.
         self._effect_until: dict[str, float] = {}
         # By group, the record that the last promotion found.
         self._found_records: dict[str, GroupRecord] = {}
@@ -258,15 +258,16 @@
     def _note_earlier_orders(self, found: GroupRecord) -> None:
         """Note until when an order of an unfinished promotion takes effect.
 
-        Until then the old primary must not be recorded again.
+        Until then the old primary must not be recorded again. The time of own
+        attempts counts from the first of them.
         """
-        resumed = found.changing and not is_unverified(found)
-        if not resumed:
-            self._effect_until[found.group] = -math.inf
-        elif self._effect_until.get(found.group, -math.inf) == -math.inf:
-            self._effect_until[found.group] = (
-                steady_seconds() + EFFECT_TIMEOUT_S
-            )
+        name = found.group
+        if not found.changing or is_unverified(found):
+            self._effect_until[name] = -math.inf
+        elif (
+            found.holder != self._tables.name or name not in self._effect_until
+        ):
+            self._effect_until[name] = steady_seconds() + EFFECT_TIMEOUT_S
 
     async def _wait_for_peers(self, held_lock: HeldLock) -> None:
         """Wait until no proxy works with the old primary."""
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from toucandeal.fleet import GroupRecord
 from toucandeald.tests.simulated_fleet import GROUPS
 from toucandeald.tests.simulated_promotions import (
     promoting_fleet,
@@ -173,6 +174,19 @@
     fleet.check()
 
 
+def test_each_take_over_waits_for_the_order_of_the_holder_before(fleet):
+    # Guards against a wait that counts from an earlier promotion of the group.
+    promoter = fleet.proxies['p1'].promoter
+    begun = GroupRecord(FIRST, 'old', 1, changing=True, holder='p0')
+    own = begun._replace(holder='p1')
+    noted = []
+    for found in (begun, own, begun):
+        promoter._note_earlier_orders(found)
+        noted.append(promoter._effect_until[FIRST] - fleet.clock.now)
+        fleet.run(10.0)
+    assert noted == pytest.approx([3.0, -7.0, 3.0])
+
+
 def test_a_group_without_replicas_gets_its_old_primary_back(fleet):
     # Guards against writes that are refused for good while no replica answers.
     fleet.service.effect_s = 1000
