Log which answer the first sample of a primary comes from

record_position now returns what a position is used for, and the pools log the first one after a change of the group's record or term: server, position, epoch, kind, whether it was given inside a transaction, and when its statement was sent against the time at which this proxy applied the record (new in GroupState). No decision changes.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -102,7 +102,7 @@
             for server in group.servers
         }
         for record in environment.records.values():
-            apply_record(tables, record)
+            apply_record(tables, record, environment.clock.seconds())
         self._renew_lease()
         clock = environment.clock
         own_record = ProxyRecord(spec.name, INCARNATION, spec.name)
@@ -131,7 +131,7 @@
     def apply_group_record(self, record: GroupRecord) -> None:
         """Apply a change of a group's primary, as read from the store."""
         previous = self.tables.groups[record.group].record
-        apply_record(self.tables, record)
+        apply_record(self.tables, record, self._environment.clock.seconds())
         if record.changing:
             self.pools.drop_connections(previous.primary)
 
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -1,5 +1,6 @@
 """The tables of a proxy that serves interactive sessions."""
 
+import enum
 import math
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -19,6 +20,7 @@
     'FleetTables',
     'GroupState',
     'PeerView',
+    'PositionUse',
     'ServerLoad',
     'apply_configuration',
     'apply_record',
@@ -121,13 +123,15 @@
     of the present term. Work in progress when a planned promotion begins may
     finish before `primary_work_until`. `backoff` sets the retry delay of
     refused callers. `not_leading` is the recorded primary, if it has answered
-    that it does not lead.
+    that it does not lead. `recorded_at` is the time, in seconds, at which this
+    proxy has applied the record.
     """
 
     def __init__(self, name: str) -> None:
         """Start without a record."""
         self.name = name
         self.record: GroupRecord | None = None
+        self.recorded_at = -math.inf
         self.epoch = 0
         self.history: History = []
         self.term_start: LogPosition = NOTHING_SEEN
@@ -137,6 +141,14 @@
         self.crossing = CrossingState()
 
 
+class PositionUse(enum.Enum):
+    """What a position in a server's answer is used for."""
+
+    NO_SAMPLE = 'no sample'  # the server may not be the present primary
+    FIRST_SAMPLE = 'first sample'  # of a record or a term
+    SAMPLE = 'sample'
+
+
 class PeerView(NamedTuple):
     """Another proxy, as of its last heartbeat.
 
@@ -219,9 +231,16 @@
     return True
 
 
-def apply_record(tables: FleetTables, update: GroupRecord) -> bool:
+def apply_record(tables: FleetTables, update: GroupRecord, now: float) -> bool:
     """Apply a group's record unless it is outdated.
 
+    Parameters
+    ----------
+    tables : FleetTables
+    update : GroupRecord
+    now : float
+        Seconds.
+
     Returns
     -------
     bool
@@ -240,6 +259,7 @@
         group.term_start = NOTHING_SEEN
         group.not_leading = ''
     group.record = update
+    group.recorded_at = now
     return True
 
 
@@ -299,12 +319,22 @@
     position: LogPosition,
     sent_at: float,
     now: float,
-) -> None:
+) -> PositionUse:
     """Record the position in a server's answer.
 
     A primary's position is a sample for replica reads. It counts only while
     this proxy has a lease on that primary, so no sample comes from a
     superseded primary.
+
+    Parameters
+    ----------
+    tables : FleetTables
+    server : Server
+    position : LogPosition
+    sent_at : float
+        When the statement was sent, in seconds.
+    now : float
+        Seconds.
     """
     load = server_load(tables, server.name)
     load.held = max(load.held, position)
@@ -312,12 +342,14 @@
     load.heard_at = now
     primary = usable_primary(tables, server.group, now)
     if primary is None or primary.name != server.name:
-        return
+        return PositionUse.NO_SAMPLE
     group = group_state(tables, server.group)
     if position.term > group.term_start.term:
         group.history.clear()
         group.term_start = position
+    is_first = not group.history
     add_sample(group.history, Sample(position, sent_at))
+    return PositionUse.FIRST_SAMPLE if is_first else PositionUse.SAMPLE
 
 
 def required_in_current_term(
--- a/packages/toucandeal/src/toucandeal/tests/sample_tables.py
+++ b/packages/toucandeal/src/toucandeal/tests/sample_tables.py
@@ -40,7 +40,9 @@
         tables.servers[name] = Server(
             name, 'g', f'{name}:1', 'z1', 2, False, name == 'a'
         )
-    apply_record(tables, GroupRecord('g', 'a', 3, version=StoreVersion(0, 1)))
+    apply_record(
+        tables, GroupRecord('g', 'a', 3, version=StoreVersion(0, 1)), NOW
+    )
     renew_lease(tables, NOW)
     return tables
 
--- a/packages/toucandeal/src/toucandeal/tests/simulated_domains.py
+++ b/packages/toucandeal/src/toucandeal/tests/simulated_domains.py
@@ -103,7 +103,7 @@
         }
         tables.servers['p'] = Server('p', 'g', 'p', 'd0', 2, False, True)
         record = GroupRecord('g', 'p', 3, version=StoreVersion(0, 1))
-        apply_record(tables, record)
+        apply_record(tables, record, 0.0)
         return tables
 
     def _observe(self):
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -60,6 +60,7 @@
     apply_record(
         tables,
         GroupRecord('g', 'a', 3, changing=True, version=StoreVersion(0, 2)),
+        NOW,
     )
     refusal = place_write(tables, new_route(), NOW)
     assert refusal.reason == 'a promotion is under way'
@@ -98,7 +99,9 @@
 def test_another_primary_is_used_after_one_that_denied_to_lead():
     tables = new_tables()
     note_not_leading(tables, tables.servers['a'])
-    apply_record(tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)))
+    apply_record(
+        tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)), NOW
+    )
     assert place_write(tables, new_route(), NOW).server.name == 'b'
 
 
@@ -157,7 +160,9 @@
 def test_a_position_of_an_earlier_term_does_not_block_reads():
     tables = new_tables()
     record_primary_position(tables, 7, NOW)
-    apply_record(tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)))
+    apply_record(
+        tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)), NOW
+    )
     record_primary_position(tables, 6, NOW, term=4)
     assert _read(tables, seen=LogPosition(3, 99)).after == LogPosition(4, 6)
 
@@ -165,7 +170,9 @@
 def test_samples_of_a_superseded_primary_are_dropped():
     tables = new_tables()
     record_primary_position(tables, 7, NOW)
-    apply_record(tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)))
+    apply_record(
+        tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)), NOW
+    )
     record_position(tables, tables.servers['a'], LogPosition(3, 8), NOW, NOW)
     assert _read(tables).server.name == 'b'
 
@@ -260,7 +267,7 @@
 
 def _changing(tables):
     record = GroupRecord('g', 'a', 3, changing=True, version=StoreVersion(0, 2))
-    apply_record(tables, record)
+    apply_record(tables, record, NOW)
 
 
 @pytest.mark.parametrize(
--- a/packages/toucandeal/src/toucandeal/tests/test_primary_lease.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_primary_lease.py
@@ -162,7 +162,7 @@
 
     def _deliver_read(self, name, sent_at, record):
         tables = self.tables[name]
-        apply_record(tables, record)
+        apply_record(tables, record, self._clock(name))
         record_store_read(tables.primary_lease, sent_at, PROXIES)
 
     @rule(name=st.sampled_from(NAMES))
@@ -230,7 +230,7 @@
         )
         self.promotion = None
         self.tables[name].primary_lease.promoting_groups.discard('g')
-        apply_record(self.tables[name], self.record)
+        apply_record(self.tables[name], self.record, self._clock(name))
 
     @invariant()
     def no_proxy_uses_a_superseded_primary(self):
--- a/packages/toucandeal/src/toucandeal/tests/test_promotion.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_promotion.py
@@ -80,6 +80,7 @@
     apply_record(
         tables,
         GroupRecord('g', 'a', 3, changing=True, version=StoreVersion(0, 2)),
+        NOW,
     )
     assert promotion_trigger(tables, 'g', NOW) is None
     alone = new_tables()
--- a/packages/toucandeal/src/toucandeal/tests/test_relay_leases.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_relay_leases.py
@@ -79,7 +79,7 @@
 
     def read(self, sent_at, record, proxies):
         """Apply a read of the store."""
-        apply_record(self.tables, record)
+        apply_record(self.tables, record, sent_at + self.offset)
         record_store_read(self.lease, sent_at + self.offset, proxies)
 
     def reports(self, now):
@@ -479,7 +479,12 @@
         registered = self.fleet.proxies[self.promotion[0]].lease.registered
         for name in names:
             if name in registered:
-                apply_record(self.fleet.proxies[name].tables, self.fleet.record)
+                proxy = self.fleet.proxies[name]
+                apply_record(
+                    proxy.tables,
+                    self.fleet.record,
+                    self.fleet.now + proxy.offset,
+                )
 
     @precondition(lambda self: self.promotion and self._may_take_effect())
     @rule()
@@ -494,7 +499,9 @@
         self.promotion = None
         proxy = self.fleet.proxies[name]
         proxy.lease.promoting_groups.discard('g')
-        apply_record(proxy.tables, self.fleet.record)
+        apply_record(
+            proxy.tables, self.fleet.record, self.fleet.now + proxy.offset
+        )
 
     def _may_take_effect(self):
         name, expires_at = self.promotion
--- a/packages/toucandeal/src/toucandeal/tests/test_store_recovery.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_store_recovery.py
@@ -231,7 +231,7 @@
         return era == lease.era
 
     def _apply(self, name, record):
-        if apply_record(self.tables[name], record):
+        if apply_record(self.tables[name], record, self.now):
             self.record_seen_at[name] = self.now
 
     def _deliver_read(self, name, sent_at, state):
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -16,6 +16,8 @@
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import (
     FleetTables,
+    PositionUse,
+    group_state,
     note_leading,
     note_not_leading,
     record_position,
@@ -388,7 +390,27 @@
                 # The report may be older than the record of its promotion.
                 self.on_suspicion(server, 'it reports that it does not lead')
         if answer.position is not None:
-            record_position(self._tables, server, answer.position, sent_at, now)
+            position_use = record_position(
+                self._tables, server, answer.position, sent_at, now
+            )
+            if position_use is PositionUse.FIRST_SAMPLE:
+                self._log_sample(server, answer, sent_at, now)
+
+    def _log_sample(
+        self, server: Server, answer: ServerAnswer, sent_at: float, now: float
+    ) -> None:
+        group = group_state(self._tables, server.group)
+        log_event(
+            'sample',
+            group=group.name,
+            server=server.name,
+            position=answer.position,
+            epoch=group.epoch,
+            sent_after_record_s=round(sent_at - group.recorded_at, 4),
+            took_s=round(now - sent_at, 4),
+            kind=answer.kind.value,
+            in_transaction=answer.in_transaction,
+        )
 
     def _record_attempt(
         self, server: Server, refusal: ServerAnswer | None
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -268,7 +268,7 @@
             self.promotion_lock = decoded.promotion_lock
             self.lock_seen_at = now
         for record in decoded.groups:
-            if apply_record(self._tables, record):
+            if apply_record(self._tables, record, now):
                 self.record_seen_at[record.group] = now
                 log_event('record', **record._asdict())
                 self.on_record(record, expires_at)
--- a/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
@@ -73,7 +73,8 @@
     tables = FleetTables('p1', 'd')
     tables.configuration = _configuration({'k': 'north'})
     tables.servers['r1'] = Server('r1', 'g', 'r1:1', 'd', 1, False, True)
-    apply_record(tables, GroupRecord('g', 'r1', version=StoreVersion(1, 1)))
+    record = GroupRecord('g', 'r1', version=StoreVersion(1, 1))
+    apply_record(tables, record, 0.0)
     own = ProxyRecord('p1', 1, 'p1:1')
     record_store_read(tables.primary_lease, 0.0, {'p1': own})
     return tables
@@ -146,7 +147,7 @@
 
     def _record(self, version, *, changing):
         record = GroupRecord('g', 'r1', changing=changing, version=version)
-        apply_record(self.tables, record)
+        apply_record(self.tables, record, self.clock.seconds())
 
 
 @pytest.fixture(params=[True, False], ids=['transaction', 'statement'])
