Take no sample from a statement that was sent before the record was known

Cause: record_position took any position for the primary's if the server was the recorded primary when the answer arrived. The sample's time is that of the statement, and claims that all commits before it are included. A server that answered as a replica, with what it had applied by then, and was promoted before the answer arrived gave a sample that lacks the commits it had received and not applied. Until a sample is as old as the age limit of a read, a replica that lacks the same commits satisfies it. The class of fault: evidence is judged by the state at its arrival instead of the state at its origin.

Change: a sample counts only if its statement was sent after this proxy had applied the group's newest record. The record of a promotion is written after the server has reported that it leads, so whatever it answers to a later statement is a position of its lead. That also covers a lead that went away and came back between two records that this proxy has seen.

Ruled out: the term of the position, since a new primary answers with the old term until its first commit; the position that was chosen for the promotion as a lower bound, since a proxy that did not carry it out does not know it.

Late answers are logged (`sample` with use `late`). Reads need one more statement at a new primary before replicas serve them.

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -145,6 +145,7 @@
     """What a position in a server's answer is used for."""
 
     NO_SAMPLE = 'no sample'  # the server may not be the present primary
+    LATE = 'late'  # the server may have answered before it led
     FIRST_SAMPLE = 'first sample'  # of a record or a term
     SAMPLE = 'sample'
 
@@ -324,7 +325,9 @@
 
     A primary's position is a sample for replica reads. It counts only while
     this proxy has a lease on that primary, so no sample comes from a
-    superseded primary.
+    superseded primary, and only if its statement was sent after this proxy
+    had applied the record. An earlier one may have been answered while the
+    server was a replica that had not applied all that it had received.
 
     Parameters
     ----------
@@ -344,6 +347,8 @@
     if primary is None or primary.name != server.name:
         return PositionUse.NO_SAMPLE
     group = group_state(tables, server.group)
+    if sent_at < group.recorded_at:
+        return PositionUse.LATE
     if position.term > group.term_start.term:
         group.history.clear()
         group.term_start = position
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -53,6 +53,7 @@
 INTERNAL_PRIORITY = -1  # this proxy's own requests precede all callers'
 IDLE_SPARES = 2  # per server, so that a failover needs no handshakes
 WORKSPACE_USE_DECAY = 0.9  # each maintenance interval, 0.25 s
+LOGGED_USES = frozenset((PositionUse.FIRST_SAMPLE, PositionUse.LATE))
 
 
 class ServerPools:
@@ -393,15 +394,21 @@
             position_use = record_position(
                 self._tables, server, answer.position, sent_at, now
             )
-            if position_use is PositionUse.FIRST_SAMPLE:
-                self._log_sample(server, answer, sent_at, now)
+            if position_use in LOGGED_USES:
+                self._log_sample(server, answer, sent_at, now, position_use)
 
     def _log_sample(
-        self, server: Server, answer: ServerAnswer, sent_at: float, now: float
+        self,
+        server: Server,
+        answer: ServerAnswer,
+        sent_at: float,
+        now: float,
+        position_use: PositionUse,
     ) -> None:
         group = group_state(self._tables, server.group)
         log_event(
             'sample',
+            use=position_use.value,
             group=group.name,
             server=server.name,
             position=answer.position,
--- a/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
@@ -9,11 +9,22 @@
     ConnectionState,
     PreparedShape,
 )
-from toucandeal.fleet import ProxyRecord, Server, Statement, Verb
-from toucandeal.fleet_tables import server_load, usable_primary
+from toucandeal.fleet import (
+    GroupRecord,
+    ProxyRecord,
+    Server,
+    Statement,
+    Verb,
+)
+from toucandeal.fleet_tables import (
+    apply_record,
+    server_load,
+    usable_primary,
+)
 from toucandeal.positions import LogPosition
 from toucandeal.promotion import ServerReport
 from toucandeal.statement_queue import ConnectionRequest
+from toucandeal.store_versions import StoreVersion
 from toucandeal.tests.sample_tables import NOW, new_tables
 from toucandeald.borrowing import Borrowing
 from toucandeald.server_pools import ServerPools
@@ -203,3 +214,26 @@
     assert (usable is not None) == bool(samples)
     # A check follows, so that one which leads again is used again.
     assert suspected == ['a'][samples:]
+
+
+def test_a_replica_that_is_promoted_before_its_answer_arrives_gives_no_sample():
+    # Guards against stale reads at replicas: the answer has the position that
+    # the server had applied before it led.
+    proxy = DarkServer()
+    waiting = defer.Deferred()
+    connection = SetupConnection(None)
+    connection.call = lambda request, timeout_s: waiting
+    record = GroupRecord('g', 'c', 4, version=StoreVersion(0, 2))
+    answer = ServerAnswer(
+        AnswerKind.COMPLETED, [], '', '', position=LogPosition(3, 9)
+    )
+    with virtual_time(proxy.clock.seconds):
+        defer.ensureDeferred(
+            proxy.pools.call(
+                proxy.tables.servers['c'], connection, ReportStatus(), 1.0
+            )
+        )
+        proxy.clock.advance(0.3)
+        apply_record(proxy.tables, record, proxy.clock.seconds())
+        waiting.callback(answer)
+    assert not proxy.tables.groups['g'].history
