End a denial of the lead only by a report that was requested after it

Cause: once a recorded primary had answered that it does not lead, any report of it that said the opposite made it usable again, also one that was requested before the denial and arrived after it, as over a slower connection. Its answers from the time in which it did not lead then counted as samples.

Change: a group remembers when its primary last denied, and a report ends the denial only if it was requested later. From then on the lead counts as known anew, so only statements that are sent later give samples. lead_known_at replaces recorded_at; it is set by settled records alone, as no sample is taken while a promotion is under way.

Evidence: both tests fail without the comparison of the times (the server is usable again; the late position is a sample).

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -123,20 +123,23 @@
     of the present term. Work in progress when a planned promotion begins may
     finish before `primary_work_until`. `backoff` sets the retry delay of
     refused callers. `not_leading` is the recorded primary, if it has answered
-    that it does not lead. `recorded_at` is the time, in seconds, at which this
-    proxy has applied the record.
+    that it does not lead, and `denied_at` the time of the last such answer.
+    `lead_known_at` is the time from which this proxy knows that the recorded
+    primary leads: what that server answers to a later statement, it answers as
+    the primary. Times are in seconds.
     """
 
     def __init__(self, name: str) -> None:
         """Start without a record."""
         self.name = name
         self.record: GroupRecord | None = None
-        self.recorded_at = -math.inf
+        self.lead_known_at = -math.inf
         self.epoch = 0
         self.history: History = []
         self.term_start: LogPosition = NOTHING_SEEN
         self.primary_work_until = math.inf
         self.not_leading = ''
+        self.denied_at = -math.inf
         self.backoff = Backoff()
         self.crossing = CrossingState()
 
@@ -255,12 +258,12 @@
         group.epoch += 1
     if not update.changing:
         group.primary_work_until = math.inf
+        group.lead_known_at = now
     if current is not None and update.primary != current.primary:
         group.history.clear()
         group.term_start = NOTHING_SEEN
         group.not_leading = ''
     group.record = update
-    group.recorded_at = now
     return True
 
 
@@ -271,7 +274,7 @@
     return begun or update.primary != current.primary
 
 
-def note_not_leading(tables: FleetTables, server: Server) -> None:
+def note_not_leading(tables: FleetTables, server: Server, now: float) -> None:
     """Note that a server has answered that it does not lead its group.
 
     If it is the recorded primary, another one may lead, whose commits it does
@@ -281,17 +284,26 @@
     is_recorded = (
         group.record is not None and group.record.primary == server.name
     )
+    if is_recorded:
+        group.denied_at = now
     if is_recorded and group.not_leading != server.name:
         group.not_leading = server.name
         group.epoch += 1
         group.history.clear()
 
 
-def note_leading(tables: FleetTables, server: Server) -> None:
-    """Note that a server has reported that it leads its group."""
+def note_leading(
+    tables: FleetTables, server: Server, sent_at: float, now: float
+) -> None:
+    """Note that a server has reported that it leads its group.
+
+    A report that was requested at `sent_at`, before the server denied to lead,
+    may be older than the denial.
+    """
     group = group_state(tables, server.group)
-    if group.not_leading == server.name:
+    if group.not_leading == server.name and sent_at >= group.denied_at:
         group.not_leading = ''
+        group.lead_known_at = now
 
 
 def accepts_operations(tables: FleetTables, name: str, now: float) -> bool:
@@ -347,7 +359,7 @@
     if primary is None or primary.name != server.name:
         return PositionUse.NO_SAMPLE
     group = group_state(tables, server.group)
-    if sent_at < group.recorded_at:
+    if sent_at < group.lead_known_at:
         return PositionUse.LATE
     if position.term > group.term_start.term:
         group.history.clear()
--- a/packages/toucandeal/src/toucandeal/tests/test_fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_fleet_tables.py
@@ -1,7 +1,14 @@
 """Positions in servers' answers, and the samples that they become."""
 
 from toucandeal.fleet import GroupRecord
-from toucandeal.fleet_tables import PositionUse, apply_record, record_position
+from toucandeal.fleet_tables import (
+    PositionUse,
+    apply_record,
+    note_leading,
+    note_not_leading,
+    record_position,
+    usable_primary,
+)
 from toucandeal.placement import place_read
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.store_versions import StoreVersion
@@ -66,3 +73,26 @@
         tables, server, LogPosition(3, 41), NOW + 0.3, NOW + 0.5
     )
     assert use is PositionUse.LATE
+
+
+def test_a_report_of_before_a_denial_does_not_end_it():
+    # Guards against the use of a server that has lost the lead, on the word of
+    # a report that was requested while it led and that arrives late.
+    tables = new_tables()
+    server = tables.servers['a']
+    note_not_leading(tables, server, NOW + 0.2)
+    note_leading(tables, server, NOW + 0.1, NOW + 0.3)
+    assert usable_primary(tables, 'g', NOW + 0.3) is None
+    note_leading(tables, server, NOW + 0.3, NOW + 0.4)
+    assert usable_primary(tables, 'g', NOW + 0.4) is server
+
+
+def test_no_answer_of_before_the_end_of_a_denial_is_a_sample():
+    # Guards against a position of the time in which the server did not lead.
+    tables = new_tables()
+    server = tables.servers['a']
+    note_not_leading(tables, server, NOW + 0.2)
+    note_leading(tables, server, NOW + 0.3, NOW + 0.4)
+    position = LogPosition(3, 41)
+    use = record_position(tables, server, position, NOW + 0.35, NOW + 0.45)
+    assert use is PositionUse.LATE
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -83,22 +83,22 @@
     tables = new_tables()
     record_primary_position(tables, 7, NOW)
     epoch = tables.groups['g'].epoch
-    note_not_leading(tables, tables.servers['a'])
+    note_not_leading(tables, tables.servers['a'], NOW)
     assert tables.groups['g'].epoch > epoch
     record_primary_position(tables, 8, NOW)
     assert not tables.groups['g'].history
     assert isinstance(place_write(tables, new_route(), NOW), Refusal)
     assert isinstance(_read(tables), Refusal)
-    note_not_leading(tables, tables.servers['b'])
-    note_leading(tables, tables.servers['b'])
+    note_not_leading(tables, tables.servers['b'], NOW)
+    note_leading(tables, tables.servers['b'], NOW, NOW)
     assert isinstance(place_write(tables, new_route(), NOW), Refusal)
-    note_leading(tables, tables.servers['a'])
+    note_leading(tables, tables.servers['a'], NOW, NOW)
     assert place_write(tables, new_route(), NOW).server.name == 'a'
 
 
 def test_another_primary_is_used_after_one_that_denied_to_lead():
     tables = new_tables()
-    note_not_leading(tables, tables.servers['a'])
+    note_not_leading(tables, tables.servers['a'], NOW)
     apply_record(
         tables, GroupRecord('g', 'b', 4, version=StoreVersion(0, 2)), NOW
     )
--- a/packages/toucandeald/src/toucandeald/primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -78,21 +78,24 @@
         return record is not None and record.primary == server.name
 
     async def _is_silent(self, server: Server) -> bool:
+        sent_at = steady_seconds()
         answer = await request_on_new_connection(
             self._open_link, server, ReportStatus(), CHECK_TIMEOUT_S
         )
         if answer.kind in {AnswerKind.LOST, AnswerKind.WRONG_SERVER}:
             return True
-        self._record_role(server, answer.report)
+        self._record_role(server, answer.report, sent_at)
         load = server_load(self._tables, server.name)
         load.heard_at = steady_seconds()
         load.unreachable_since = None
         return False
 
-    def _record_role(self, server: Server, report: ServerReport | None) -> None:
+    def _record_role(
+        self, server: Server, report: ServerReport | None, sent_at: float
+    ) -> None:
         if report is None:
             return
-        note_role(self._tables, server, report)
+        note_role(self._tables, server, report, sent_at, steady_seconds())
         if report.is_primary:
             self.stepped_down.pop(server.group, None)
         else:
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -382,11 +382,11 @@
         if answer.kind is AnswerKind.LAGGING:
             load.lagging_until = now + LAGGING_RETRY_DELAY_S
         if answer.kind is AnswerKind.READ_ONLY:
-            note_not_leading(self._tables, server)
+            note_not_leading(self._tables, server, now)
             self.on_suspicion(server, 'it refuses writes')
         if answer.report is not None:
             load.received = max(load.received, answer.report.received)
-            note_role(self._tables, server, answer.report)
+            note_role(self._tables, server, answer.report, sent_at, now)
             if not answer.report.is_primary:
                 # The report may be older than the record of its promotion.
                 self.on_suspicion(server, 'it reports that it does not lead')
@@ -413,7 +413,7 @@
             server=server.name,
             position=answer.position,
             epoch=group.epoch,
-            sent_after_record_s=round(sent_at - group.recorded_at, 4),
+            sent_after_record_s=round(sent_at - group.lead_known_at, 4),
             took_s=round(now - sent_at, 4),
             kind=answer.kind.value,
             in_transaction=answer.in_transaction,
@@ -442,13 +442,17 @@
 
 
 def note_role(
-    tables: FleetTables, server: Server, report: ServerReport
+    tables: FleetTables,
+    server: Server,
+    report: ServerReport,
+    sent_at: float,
+    now: float,
 ) -> None:
     """Note whether a server reports that it leads its group."""
     if report.is_primary:
-        note_leading(tables, server)
+        note_leading(tables, server, sent_at, now)
     else:
-        note_not_leading(tables, server)
+        note_not_leading(tables, server, now)
 
 
 def record_setup(connection, step: SetupStep, answer: ServerAnswer) -> None:
