Do not replace a primary that stepped down before it was recorded again

Cause: a proxy that finds its group's primary to be a replica remembers that server's name, and only the proxy that carries out the next promotion forgets it. On all others the name stays. If that server is promoted again later, they take it for a primary that has stepped down, and begin an unplanned promotion of another one at once, without waiting for it to catch up: acknowledged commits that only the healthy primary has are rolled back. The same follows from one late report, requested before the server led again.

Change: a report that a server does not lead counts with the time at which it was requested, and only if this proxy has not learned since then that the server leads.

--- a/packages/toucandeald/src/toucandeald/primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -4,7 +4,9 @@
 they raise suspicion, over a separate connection.
 """
 
-from toucandeal.fleet import Server
+import math
+
+from toucandeal.fleet import GroupRecord, Server
 from toucandeal.fleet_tables import FleetTables, group_state, server_load
 from toucandeal.promotion import ServerReport
 from toucandeald.background_tasks import run_in_background
@@ -23,18 +25,33 @@
 
 
 class PrimaryWatch:
-    """Checks the servers that are recorded as primaries."""
+    """Checks the servers that are recorded as primaries.
+
+    `stepped_down` has the server of a group that has reported that it does not
+    lead, and the time at which that report was requested.
+    """
 
     def __init__(
         self, clock, tables: FleetTables, open_link: OpenConnection
     ) -> None:
         """Initialize with the function that opens a connection."""
-        self.stepped_down: dict[str, str] = {}
+        self.stepped_down: dict[str, tuple[str, float]] = {}
         self._clock = clock
         self._tables = tables
         self._open_link = open_link
         self._checking: set[str] = set()
 
+    def has_stepped_down(self, record: GroupRecord) -> bool:
+        """Return whether a recorded primary has reported that it does not lead.
+
+        A report of before its present lead does not count.
+        """
+        name, requested_at = self.stepped_down.get(
+            record.group, ('', -math.inf)
+        )
+        group = group_state(self._tables, record.group)
+        return name == record.primary and requested_at >= group.lead_known_at
+
     def suspect(self, server: Server, reason: str) -> None:
         """Check a server if it is its group's primary."""
         if server.name in self._checking or not self._is_primary(server):
@@ -99,5 +116,5 @@
         if report.is_primary:
             self.stepped_down.pop(server.group, None)
         else:
-            self.stepped_down[server.group] = server.name
+            self.stepped_down[server.group] = (server.name, sent_at)
             log_event('primary has stepped down', server=server.name)
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -151,7 +151,7 @@
                     'a promotion was left unfinished', record.planned
                 )
             return None
-        if self._watch.stepped_down.get(name) == record.primary:
+        if self._watch.has_stepped_down(record):
             return Trigger('the primary has stepped down', planned=False)
         return promotion_trigger(
             self._tables,
--- a/packages/toucandeald/src/toucandeald/promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/promotion_choice.py
@@ -69,14 +69,11 @@
         )
 
     def _may_have_been_replaced(self, record: GroupRecord) -> bool:
-        stepped_down = (
-            self._watch.stepped_down.get(record.group) == record.primary
-        )
         claimed = any(
             server.name != record.primary
             for server in servers_claiming_primary(self._tables, record.group)
         )
-        return stepped_down or claimed
+        return self._watch.has_stepped_down(record) or claimed
 
     async def choose_replica(
         self, record: GroupRecord, *, planned: bool
--- a/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_promotions.py
@@ -125,6 +125,10 @@
     def __init__(self):
         self.stepped_down = {}
 
+    def has_stepped_down(self, record):
+        """Return that no primary has."""
+        return False
+
 
 class Work:
     """Stands for the pools and the sessions of a proxy."""
--- a/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
@@ -21,6 +21,10 @@
     def __init__(self):
         self.stepped_down = {}
 
+    def has_stepped_down(self, record):
+        """Return that no primary has."""
+        return False
+
 
 class Reports:
     """Answers with the log positions that the test has set."""
