Take no superseded primary for the leader of a group

Cause: a promotion that is resumed, or whose group has another server that claims to be the primary, first asks all servers which of them leads, and records the one of the highest reported term. Only the reports that arrive were compared. If the recorded primary of term 3 gives no answer, and no replica that follows it does, its predecessor answers that it is the primary of term 2, as it does until a second after it has reached its successor, and was recorded again, without a promotion. Reads there lack the commits of term 3, and writes there are acknowledged.

Change: a server other than the recorded primary leads only in a later term than the recorded one. If none does, the promotion goes on with the choice of a replica, whose promotion begins a new term.

Evidence: the test fails before the change for the terms 2 and 3 (`('b', 2)` is found), and holds for 4 before and after.

--- a/packages/toucandeald/src/toucandeald/promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/promotion_choice.py
@@ -63,7 +63,7 @@
             (
                 (name, term)
                 for name, term in primary_terms.items()
-                if term == newest
+                if term == newest and _may_lead(record, name, term)
             ),
             None,
         )
@@ -151,3 +151,20 @@
                 server=primary.name,
                 answer=answer.kind.value,
             )
+
+
+def _may_lead(record: GroupRecord, name: str, term: int) -> bool:
+    """Return whether a server that calls itself primary of `term` may be it.
+
+    A superseded primary does so until it hears of its successor, which may
+    give no answer.
+
+    Examples
+    --------
+    >>> record = GroupRecord('g', 'a', 3)
+    >>> _may_lead(record, 'a', 3), _may_lead(record, 'b', 3)
+    (True, False)
+    """
+    return term > record.term or (
+        name == record.primary and term == record.term
+    )
--- a/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
@@ -94,3 +94,24 @@
 
 def test_a_planned_promotion_leaves_no_server_for_one_that_is_leaving():
     assert choose({'a': 9, 'b': 9, 'c': 5}, 'ab', planned=True) is None
+
+
+@pytest.mark.parametrize(
+    ('term', 'leader'), [(2, None), (3, None), (4, ('b', 4))]
+)
+def test_a_superseded_primary_is_not_taken_for_the_leader(term, leader):
+    # Guards against stale reads and acknowledged writes at a former primary
+    # that calls itself one while the recorded primary, and the replica that
+    # follows it, give no answer.
+    clock = Clock()
+    clock.advance(NOW)
+    reports = Reports({})
+    report = ServerReport(True, term, LogPosition(term, 9))
+    reports.gather = lambda servers: defer.succeed({'b': report})
+    choice = PromotionChoice(clock, new_tables(), Watch(), reports)
+    record = GroupRecord('g', 'a', 3, changing=True)
+    with virtual_time(clock.seconds):
+        found = defer.ensureDeferred(
+            choice.current_leader(record, resumed=True)
+        ).result
+    assert found == leader
