Record nothing from an answer that a server gave before its restart

Cause: when a server's entry tells of a restart, what this proxy knew of it is discarded, as it holds nothing of before. An answer that was under way then was recorded all the same when it arrived: a write could count as confirmed by a replica that had received it before its restart only.

Change: an answer of another start than the listed one is logged and not recorded.

Evidence: the test fails before the change (the late report confirms the position); a report of the restarted server confirms it before and after.

--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -376,6 +376,10 @@
             if not self.stopped:
                 self.on_suspicion(server, answer.reason)
             return
+        present = self._tables.servers.get(server.name, server)
+        if present.born_ms != server.born_ms:
+            log_event('answer of an earlier start', server=server.name)
+            return
         load.unreachable_since = None
         load.heard_at = now
         load.observe_round_trip(now - sent_at, now)
--- a/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
@@ -18,6 +18,7 @@
 )
 from toucandeal.fleet_tables import (
     apply_record,
+    is_confirmed,
     server_load,
     usable_primary,
 )
@@ -237,3 +238,23 @@
         apply_record(proxy.tables, record, proxy.clock.seconds())
         waiting.callback(answer)
     assert not proxy.tables.groups['g'].history
+
+
+def test_an_answer_of_before_a_restart_says_nothing_of_the_restarted_server():
+    # Guards against writes that are confirmed by a replica which has received
+    # them before its restart and holds nothing since then.
+    proxy = DarkServer()
+    servers = proxy.tables.servers
+    replica = servers['c']
+    report = ServerReport(False, 3, LogPosition(3, 9))
+    answer = ServerAnswer(AnswerKind.COMPLETED, [], '', '', report=report)
+    connection = SetupConnection(answer._replace(position=LogPosition(3, 9)))
+    servers['c'] = replica._replace(born_ms=7)
+    with virtual_time(proxy.clock.seconds):
+        for server in (replica, servers['c']):
+            before = is_confirmed(proxy.tables, 'g', 'a', LogPosition(3, 9))
+            assert not before
+            defer.ensureDeferred(
+                proxy.pools.call(server, connection, ReportStatus(), 1.0)
+            )
+    assert is_confirmed(proxy.tables, 'g', 'a', LogPosition(3, 9))
