Take no sample from a target's status of an earlier lead

Cause: a poll's answer from the known primary became a sample if its name was that of the primary, and was proven by replicas whose term was at most the primary's. A status that the target gave as primary of term 10, and that arrives once this proxy knows that the same target leads term 12, was therefore proven by statuses of term 12: another target may have led term 11 and confirmed commits that the sample claims to include.

Change: only a status of the primary's present term becomes a sample.

--- a/packages/toucandeal/src/toucandeal/evidence.py
+++ b/packages/toucandeal/src/toucandeal/evidence.py
@@ -180,16 +180,22 @@
     raise_term(frame, group, status.term)
     if status.is_primary:
         update_primary(frame, group, name, status.term, 'status')
-        _add_unproven_sample(tables, group, name, Sample(status.held, sent_at))
+        _add_unproven_sample(tables, group, name, status, sent_at)
     _record_proven_samples(tables, group)
     _update_health(tables, group)
 
 
 def _add_unproven_sample(
-    tables: Tables, group: str, name: str, sample: Sample
+    tables: Tables, group: str, name: str, status: TargetStatus, sent_at: float
 ) -> None:
+    """Add a sample that is to be proven, if the target led the present term.
+
+    The lead may have left it and come back. The replicas' statuses prove the
+    present term, so a sample of an earlier one would be proven by mistake.
+    """
     view = tables.group_views[group]
-    if name == view.primary:
+    if name == view.primary and status.term == view.primary_term:
+        sample = Sample(status.held, sent_at)
         tables.group_views[group] = view._replace(
             unproven_samples=(*view.unproven_samples[-7:], sample)
         )
