Ask a primary again while its denial of the lead stands

A proxy would refuse all writes of a group, and reads at its primary, until the group's record changes.

Cause: a proxy does not use a recorded primary that has denied to lead, so no statement's answer tells that it leads again. Only the check that follows a denial does, and there is none if one is under way already: its report was requested before the denial, and has not ended it since. This happens if two reports of a replica arrive late, after its promotion was recorded. The same follows if the server is recorded again after the check of its denial, which counts no more since, while the denial stands.

--- a/packages/toucandeald/src/toucandeald/primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -7,7 +7,12 @@
 import math
 
 from toucandeal.fleet import GroupRecord, Server
-from toucandeal.fleet_tables import FleetTables, group_state, server_load
+from toucandeal.fleet_tables import (
+    FleetTables,
+    GroupState,
+    group_state,
+    server_load,
+)
 from toucandeal.promotion import ServerReport
 from toucandeald.background_tasks import run_in_background
 from toucandeald.connection_pool import OpenConnection
@@ -40,6 +45,7 @@
         self._tables = tables
         self._open_link = open_link
         self._checking: set[str] = set()
+        self._denials_checked_at: dict[str, float] = {}  # by group
 
     def has_stepped_down(self, record: GroupRecord) -> bool:
         """Return whether a recorded primary has reported that it does not lead.
@@ -61,7 +67,7 @@
         run_in_background(self._check(server))
 
     def tick(self, now: float) -> None:
-        """Suspect primaries that are silent with requests in flight."""
+        """Suspect primaries that owe answers, or whose denial still stands."""
         for group in list(self._tables.groups.values()):
             record = group.record
             server = (
@@ -75,6 +81,24 @@
             since = max(load.heard_at, load.busy_since)
             if load.in_flight and now - since > SILENCE_S:
                 self.suspect(server, 'it owes answers and is silent')
+            if self._has_open_denial(group, now):
+                self._denials_checked_at[group.name] = now
+                self.suspect(server, 'it has denied to lead')
+
+    def _has_open_denial(self, group: GroupState, now: float) -> bool:
+        """Return whether to ask again a primary that has denied to lead.
+
+        It gets no statements whose answers would tell that it leads again, and
+        a check that was under way when it denied does not tell either.
+        """
+        record = group.record
+        checked_at = self._denials_checked_at.get(group.name, -math.inf)
+        return (
+            not record.changing
+            and group.not_leading == record.primary
+            and not self.has_stepped_down(record)
+            and now - checked_at >= CHECK_RETRY_DELAY_S
+        )
 
     async def _check(self, server: Server) -> None:
         began_at = steady_seconds()
--- a/packages/toucandeald/src/toucandeald/tests/test_primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_primary_watch.py
@@ -6,7 +6,11 @@
 from twisted.internet.task import Clock
 
 from toucandeal.fleet import GroupRecord
-from toucandeal.fleet_tables import apply_record
+from toucandeal.fleet_tables import (
+    apply_record,
+    note_not_leading,
+    usable_primary,
+)
 from toucandeal.positions import LogPosition
 from toucandeal.promotion import ServerReport
 from toucandeal.store_versions import StoreVersion
@@ -15,12 +19,15 @@
 from toucandeald.session_messages import AnswerKind, ServerAnswer
 from toucandeald.steady_clock import virtual_time
 
-DENIAL = ServerAnswer(
-    AnswerKind.COMPLETED,
-    [],
-    '',
-    '',
-    report=ServerReport(False, 3, LogPosition(3, 9)),
+DENIAL, CLAIM = (
+    ServerAnswer(
+        AnswerKind.COMPLETED,
+        [],
+        '',
+        '',
+        report=ServerReport(is_primary, 3, LogPosition(3, 9)),
+    )
+    for is_primary in (False, True)
 )
 
 
@@ -34,12 +41,12 @@
 
 
 class PendingCheck:
-    """A check of the primary `a` whose answer has not arrived."""
+    """Checks of the primary `a`, one of whose answers has not arrived."""
 
     def __init__(self, clock):
         self._clock = clock
         self.tables = new_tables()
-        self._answer = defer.Deferred()
+        self._answers = []
         self.watch = PrimaryWatch(clock, self.tables, self._open)
         self.watch.suspect(self.tables.servers['a'], 'it is silent')
 
@@ -50,17 +57,40 @@
 
     def deny(self):
         """Deliver the answer that the server does not lead."""
-        self._answer.callback(DENIAL)
+        self._answers.pop().callback(DENIAL)
+
+    def claim(self):
+        """Deliver the answer that the server leads."""
+        self._answers.pop().callback(CLAIM)
+
+    def deny_otherwise(self):
+        """Deliver, a moment later, an earlier denial in another answer."""
+        self._clock.advance(0.1)
+        note_not_leading(
+            self.tables, self.tables.servers['a'], self._clock.seconds()
+        )
 
-    def record_again(self, number):
+    def tick(self):
+        """Let the watch look at the groups; return the pending checks."""
+        self._clock.advance(0.1)
+        self.watch.tick(self._clock.seconds())
+        return len(self._answers)
+
+    def is_usable(self):
+        """Return whether the group's primary may be used."""
+        now = self._clock.seconds()
+        return usable_primary(self.tables, 'g', now) is not None
+
+    def record_again(self, number, term=5):
         """Record, a moment later, that `a` leads."""
         self._clock.advance(0.1)
-        record = GroupRecord('g', 'a', 5, version=StoreVersion(0, number))
+        record = GroupRecord('g', 'a', term, version=StoreVersion(0, number))
         apply_record(self.tables, record, self._clock.seconds())
 
     def call(self, request, timeout_s):
         """Return the answer that is still to come."""
-        return self._answer
+        self._answers.append(defer.Deferred())
+        return self._answers[-1]
 
     def close(self):
         """Close the connection."""
@@ -94,3 +124,30 @@
         check.deny()
         check.record_again(2)
         assert not check.watch.has_stepped_down(check.record)
+
+
+def test_a_denial_that_arrives_during_a_check_does_not_stand_for_good():
+    # Guards against a group without a primary: the report of a check does not
+    # end a denial that arrived after its request, and nothing asked again.
+    with running_clock() as clock:
+        check = PendingCheck(clock)
+        check.deny_otherwise()
+        check.claim()
+        assert not check.is_usable()
+        assert check.tick() == 1
+        check.claim()
+        assert check.is_usable()
+        assert check.tick() == 0
+
+
+def test_a_denial_of_before_a_record_does_not_stand_for_good():
+    # Guards against the same where the denial was checked, and the server was
+    # then recorded again: the check counts no more, and the denial did.
+    with running_clock() as clock:
+        check = PendingCheck(clock)
+        check.deny()
+        check.record_again(2, term=3)
+        assert not check.watch.has_stepped_down(check.record)
+        assert check.tick() == 1
+        check.claim()
+        assert check.is_usable()
