Tell the leads of one server apart by their terms

Cause: a record counted as one of another lead only if it named another server. If a lead comes back to its server between two records that a proxy has seen, the epoch stayed. A write that the server had answered in its earlier lead, and that another primary's promotion has lost, could be acknowledged once the proxy had a lease again, as a replica may have reported its position before. The samples of the earlier lead stayed too, and so did a denial: the new lead was not used until a report ended it.

Change: a lead is that of a server in a term. A record of another one begins a new epoch, and discards the samples and the denial.

Evidence: two tests fail before the change (the epoch is the same; no primary is usable). The third one, on a record that is written again in the same term, holds before and after.

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -259,7 +259,7 @@
     if not update.changing:
         group.primary_work_until = math.inf
         group.lead_known_at = now
-    if current is not None and update.primary != current.primary:
+    if current is not None and _begins_lead(current, update):
         group.history.clear()
         group.term_start = NOTHING_SEEN
         group.not_leading = ''
@@ -271,7 +271,17 @@
     current: GroupRecord, update: GroupRecord
 ) -> bool:
     begun = update.changing and not update.planned
-    return begun or update.primary != current.primary
+    return begun or _begins_lead(current, update)
+
+
+def _begins_lead(current: GroupRecord, update: GroupRecord) -> bool:
+    """Return whether a record is of another lead than the one before it.
+
+    A server leads again in a later term. What it has committed in the earlier
+    one may be lost, as others may have led between two records that this proxy
+    has seen.
+    """
+    return (update.primary, update.term) != (current.primary, current.term)
 
 
 def note_not_leading(tables: FleetTables, server: Server, now: float) -> None:
--- a/packages/toucandeal/src/toucandeal/tests/test_fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_fleet_tables.py
@@ -9,13 +9,14 @@
     record_position,
     usable_primary,
 )
-from toucandeal.placement import place_read
+from toucandeal.placement import place_read, place_write
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.store_versions import StoreVersion
 from toucandeal.tests.sample_tables import (
     NOW,
     new_route,
     new_tables,
+    record_primary_position,
     renew_lease,
 )
 
@@ -96,3 +97,39 @@
     position = LogPosition(3, 41)
     use = record_position(tables, server, position, NOW + 0.35, NOW + 0.45)
     assert use is PositionUse.LATE
+
+
+def test_work_with_an_earlier_lead_of_the_same_server_is_not_acknowledged():
+    # Guards against a write that is acknowledged though a promotion has lost
+    # it: the lead comes back to its server, and this proxy misses the record
+    # in between.
+    tables = new_tables()
+    record_primary_position(tables, 7, NOW)
+    placement = place_write(tables, new_route(), NOW)
+    record = GroupRecord('g', 'a', 5, version=StoreVersion(0, 9))
+    apply_record(tables, record, NOW + 0.4)
+    assert tables.groups['g'].epoch > placement.epoch
+    assert not tables.groups['g'].history
+
+
+def test_a_denial_of_an_earlier_lead_does_not_concern_the_next_one():
+    # Guards against a primary that is not used after its promotion because it
+    # had denied to lead before it.
+    tables = new_tables()
+    server = tables.servers['a']
+    note_not_leading(tables, server, NOW + 0.1)
+    record = GroupRecord('g', 'a', 5, version=StoreVersion(0, 9))
+    apply_record(tables, record, NOW + 0.4)
+    assert usable_primary(tables, 'g', NOW + 0.4) is server
+
+
+def test_the_record_of_a_lead_that_goes_on_keeps_its_work_and_samples():
+    # Guards against work that is given up without need: the records of a store
+    # that came back from a copy are written again.
+    tables = new_tables()
+    record_primary_position(tables, 7, NOW)
+    placement = place_write(tables, new_route(), NOW)
+    record = GroupRecord('g', 'a', 3, version=StoreVersion(1, 9))
+    assert apply_record(tables, record, NOW + 0.4)
+    assert tables.groups['g'].epoch == placement.epoch
+    assert tables.groups['g'].history
