Do not take a former primary for promoted before it leads again

Cause: after the order of a promotion, the chosen server counts as leading if it reports that it is a primary of the highest term that the servers have reported or of a later one. If a former primary is the only server that answers, as the recorded primary and its replica are silent, that is the term which it led itself. The first report then ended the wait, some hundred ms before the order took effect: the former primary was recorded with its old term, reads there lack the commits of the recorded primary, and writes there are acknowledged.

Change: the term of the record counts as well.

Evidence: the test fails before the change (the former primary is recorded while the other server leads).

--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -350,7 +350,7 @@
     ) -> int:
         """Wait until the chosen server leads, and return its term.
 
-        `term` is the highest one that a server has reported before.
+        `term` is the highest one that was known before.
         """
         until = steady_seconds() + EFFECT_TIMEOUT_S
         while steady_seconds() < until:
--- a/packages/toucandeald/src/toucandeald/promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/promotion_choice.py
@@ -78,7 +78,11 @@
     async def choose_replica(
         self, record: GroupRecord, *, planned: bool
     ) -> tuple[Server | None, int]:
-        """Return the replica to promote and the highest reported term."""
+        """Return the replica to promote and the highest known term.
+
+        The one of the record counts as well: a former primary may be the only
+        server that answers, and calls itself primary of an earlier term.
+        """
         began_at = steady_seconds()
         timeout_s = CATCH_UP_TIMEOUT_S if planned else REPORTS_TIMEOUT_S
         while True:
@@ -97,10 +101,8 @@
             if timed_out:
                 return None, 0
             await pause(self._clock, ROUND_INTERVAL_S)
-        term = max(
-            report.term
-            for report in (*reports.values(), *filter(None, [primary]))
-        )
+        answered = (*reports.values(), *filter(None, [primary]))
+        term = max(record.term, *(report.term for report in answered))
         if planned:
             await self._step_down(record, term + 1)
         log_event(
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -3,6 +3,9 @@
 import pytest
 
 from toucandeal.fleet import GroupRecord
+from toucandeal.positions import LogPosition
+from toucandeal.promotion import ServerReport
+from toucandeald.steady_clock import pause
 from toucandeald.tests.simulated_fleet import GROUPS
 from toucandeald.tests.simulated_promotions import (
     promoting_fleet,
@@ -200,6 +203,33 @@
     fleet.check()
 
 
+def test_a_former_primary_is_recorded_only_once_it_leads_again(fleet):
+    # Guards against stale reads and acknowledged writes at a former primary: it
+    # is the only server that answers, is chosen, and was taken for promoted
+    # because it still called itself primary of an earlier term.
+    chosen = f'{FIRST}-replica'
+    service = fleet.service
+
+    async def gather(servers):
+        await pause(fleet.clock, fleet.reports.delay_s)
+        leads = service.leaders[FIRST] == chosen
+        term = service.terms[FIRST] if leads else 0
+        report = ServerReport(True, term, LogPosition(term, 9))
+        return {each.name: report for each in servers if each.name == chosen}
+
+    fleet.reports.gather = gather
+    fleet.replace_primary('p0', FIRST)
+    leaders = []
+
+    def note_leader():
+        if fleet.primary(FIRST) == chosen:
+            leaders.append(service.leaders[FIRST])
+
+    fleet.run(3.0, note_leader, step_s=0.01)
+    assert set(leaders) == {chosen}
+    fleet.check()
+
+
 def ends(steps, group):
     """Return how the promotions of a group ended, and the lock of each."""
     return [
