Do not replace a new primary that was unreachable in an earlier lead

Cause: a primary that gives no answer is marked as unreachable until it answers this proxy again. A former primary may not, as its checks end with its lead. If it is promoted again, the mark counted as if it had just been silent: unless a peer had heard it within the last 0.5 s, this proxy began an unplanned promotion of another server at once, without a check of the new primary.

Change: a record of another lead discards the mark of its server.

Evidence: the test fails before the change (`the primary gives no answer`).

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -260,6 +260,8 @@
         group.primary_work_until = math.inf
         group.lead_known_at = now
     if current is not None and _begins_lead(current, update):
+        # As long as a server does not lead, nobody checks whether it is back.
+        server_load(tables, update.primary).unreachable_since = None
         group.history.clear()
         group.term_start = NOTHING_SEEN
         group.not_leading = ''
--- a/packages/toucandeal/src/toucandeal/tests/test_promotion.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_promotion.py
@@ -131,3 +131,17 @@
     assert not is_confirmed(tables, 'g', 'a', position)
     server_load(tables, 'c').received = LogPosition(3, 9)
     assert is_confirmed(tables, 'g', 'a', position)
+
+
+def test_a_server_that_was_unreachable_before_it_led_is_not_replaced_at_once():
+    # Guards against a needless promotion: a former primary is promoted again,
+    # and nothing has told this proxy that it answers.
+    tables = new_tables()
+    load = server_load(tables, 'a')
+    load.unreachable_since = NOW
+    for primary, term in (('b', 4), ('a', 5)):
+        record = GroupRecord('g', primary, term, version=StoreVersion(0, term))
+        apply_record(tables, record, NOW + 60)
+    assert promotion_trigger(tables, 'g', NOW + 60) is None
+    load.unreachable_since = NOW + 60.1
+    assert promotion_trigger(tables, 'g', NOW + 61) is not None
