Do not record an old primary while a silent server may lead

Cause: a proxy that resumes a promotion waits until the order of the holder before has taken effect. If no replica answers by then, it recorded the old primary again, without a look at who leads. The server that was ordered to lead may do so, and give no answer to this proxy. The old primary goes on until it reaches that server, so writes were acknowledged there that are rolled back later. The same holds after an own order.

Change: if an earlier order may have made another server lead, the platform is told to promote the old primary, which changes nothing if it still leads. A later attempt, when that order has taken effect, records it with the term that it reports. If it does not report that it leads, it is not recorded.

Evidence: the test fails before the change (the old primary is recorded while the silent replica leads). A group in which no replica answers gets its old primary back one EFFECT_TIMEOUT_S (3 s) later than before, in this case only; the test of that case holds unchanged.

--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -97,6 +97,9 @@
         self._stopped_versions: dict[str, dict[str, StoreVersion]] = {}
         # By group, when all earlier orders have taken effect, or never will.
         self._effect_until: dict[str, float] = {}
+        # By group, the server that leads then if it has not failed; empty if
+        # that is unknown.
+        self._leads_then: dict[str, str] = {}
         # By group, the record that the last promotion found.
         self._found_records: dict[str, GroupRecord] = {}
 
@@ -264,10 +267,12 @@
         name = found.group
         if not found.changing or is_unverified(found):
             self._effect_until[name] = -math.inf
+            self._leads_then[name] = found.primary
         elif (
             found.holder != self._tables.name or name not in self._effect_until
         ):
             self._effect_until[name] = steady_seconds() + EFFECT_TIMEOUT_S
+            self._leads_then[name] = ''
 
     async def _wait_for_peers(self, held_lock: HeldLock) -> None:
         """Wait until no proxy works with the old primary."""
@@ -334,16 +339,45 @@
         if chosen is None and steady_seconds() < self._effect_until[name]:
             raise PromotionAbandoned('an earlier order may still take effect')
         if chosen is None:
-            await self._complete_promotion(
-                held_lock, record.primary, record.term
-            )
+            await self._restore_primary(held_lock, leader)
             raise PromotionAbandoned('no replica can take over')
+        held_lock = await self._order(held_lock, chosen)
+        term = await self._wait_for_effect(held_lock, chosen, term)
+        await self._complete_promotion(held_lock, chosen.name, term)
+
+    async def _order(self, held_lock: HeldLock, chosen: Server) -> HeldLock:
+        """Order the promotion of a server, and return the lock."""
+        name = held_lock.record.group
+        self._leads_then[name] = ''
         try:
             held_lock = await self._orders.send(held_lock, chosen)
         finally:
             self._effect_until[name] = steady_seconds() + EFFECT_TIMEOUT_S
-        term = await self._wait_for_effect(held_lock, chosen, term)
-        await self._complete_promotion(held_lock, chosen.name, term)
+        self._leads_then[name] = chosen.name
+        return held_lock
+
+    async def _restore_primary(
+        self, held_lock: HeldLock, leader: tuple[str, int] | None
+    ) -> None:
+        """Record the old primary again, as no replica can take over.
+
+        If an earlier order may have made a server lead that gives no answer,
+        the old primary is promoted first. It is recorded by a later attempt,
+        with the term that it reports then.
+        """
+        record = held_lock.record
+        name = record.group
+        primary = self._tables.servers.get(record.primary)
+        if self._leads_then[name] != record.primary:
+            if primary is None:
+                raise PromotionAbandoned('another server may lead')
+            await self._order(held_lock, primary)
+            raise PromotionAbandoned('the old primary is to lead again')
+        if self._found_records[name].changing and leader is None:
+            self._leads_then[name] = ''
+            raise PromotionAbandoned('no server reports that it leads')
+        term = record.term if leader is None else leader[1]
+        await self._complete_promotion(held_lock, record.primary, term)
 
     async def _wait_for_effect(
         self, held_lock: HeldLock, chosen: Server, term: int
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -230,6 +230,26 @@
     fleet.check()
 
 
+def test_the_old_primary_is_not_recorded_while_a_silent_replica_leads(fleet):
+    # Guards against writes that are acknowledged at a superseded primary: the
+    # order of a promotion took effect, its holder died, and no other proxy
+    # reached the server that led since then.
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: fleet.service.orders)
+    fleet.kill('p0')
+    fleet.reports.unreachable.add(f'{FIRST}-replica')
+    fleet.assign('p1', FIRST)
+    leaders = []
+
+    def note_leader():
+        if fleet.primary(FIRST) == f'{FIRST}-primary':
+            leaders.append(fleet.service.leaders[FIRST])
+
+    fleet.run(16.0, note_leader)
+    assert set(leaders) == {f'{FIRST}-primary'}
+    fleet.check()
+
+
 def ends(steps, group):
     """Return how the promotions of a group ended, and the lock of each."""
     return [
