Wait longer for a busy replica that is known to be ahead

Cause: a promotion takes the best of the reports that arrive within 0.6 s. A busy server answers a request for its report with RETRY, which counts as no answer. If it is the only one that has confirmed the last writes, another replica was promoted without them, although the promoting proxy knew that position.

Change: if a server without a report is known to have received more than the best of the others, the choice waits up to 1.5 s, as for a replica that has to catch up. A group whose replica has died in that state gets its primary 0.9 s later.

Evidence: the test fails before the change (`c` is chosen without the position that `b` has confirmed); a replica that never answers is given up before and after.

What only other proxies know of the replicas is still not considered.

--- a/packages/toucandeald/src/toucandeald/promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/promotion_choice.py
@@ -1,7 +1,7 @@
 """Choose the server to promote from the servers' status reports."""
 
 from toucandeal.fleet import GroupRecord, Server
-from toucandeal.fleet_tables import FleetTables
+from toucandeal.fleet_tables import FleetTables, server_load
 from toucandeal.promotion import ServerReport, best_replica, replicas_of
 from toucandeald.logs import log_event
 from toucandeald.primary_watch import PrimaryWatch
@@ -13,7 +13,9 @@
 
 ROUND_INTERVAL_S = 0.05  # between two rounds of status requests
 REPORTS_TIMEOUT_S = 0.6  # for all reports; then the received ones decide
-CATCH_UP_TIMEOUT_S = 1.5  # for a replica to catch up with a healthy primary
+# For a replica to catch up with a healthy primary, or for the report of one
+# that is known to have received more than the others.
+CATCH_UP_TIMEOUT_S = 1.5
 
 
 def servers_claiming_primary(tables: FleetTables, name: str) -> list[Server]:
@@ -89,16 +91,19 @@
             candidates, reports, primary = await self._gather(
                 record, planned=planned
             )
-            timed_out = steady_seconds() - began_at >= timeout_s
+            waited_s = steady_seconds() - began_at
             leaving = {each.name for each in candidates if each.leaving}
             best = best_replica(reports, leaving)
             caught_up = primary is None or (
                 best is not None and reports[best].received >= primary.received
             )
-            complete = len(reports) == len(candidates)
-            if best is not None and caught_up and (complete or timed_out):
+            eligible = best is not None and caught_up
+            missing = [each for each in candidates if each.name not in reports]
+            if eligible and waited_s >= self._wait_s(
+                missing, reports[best], timeout_s
+            ):
                 break
-            if timed_out:
+            if waited_s >= timeout_s and not eligible:
                 return None, 0
             await pause(self._clock, ROUND_INTERVAL_S)
         answered = (*reports.values(), *filter(None, [primary]))
@@ -116,6 +121,25 @@
         )
         return self._tables.servers.get(best), term
 
+    def _wait_s(
+        self, missing: list[Server], best: ServerReport, timeout_s: float
+    ) -> float:
+        """Return how long to wait for the reports of the missing servers.
+
+        A busy server refuses to give one. If it is known to have received more
+        than the best of the others, it may be the only one that has the last
+        acknowledged commits.
+        """
+        if not missing:
+            return 0
+        received = (
+            server_load(self._tables, server.name).received
+            for server in missing
+        )
+        return (
+            CATCH_UP_TIMEOUT_S if max(received) > best.received else timeout_s
+        )
+
     async def _gather(
         self, record: GroupRecord, *, planned: bool
     ) -> tuple[list[Server], dict[str, ServerReport], ServerReport | None]:
--- a/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
@@ -1,10 +1,13 @@
 """The choice of the server that takes over from a primary."""
 
+import math
+
 import pytest
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
 from toucandeal.fleet import GroupRecord
+from toucandeal.fleet_tables import server_load
 from toucandeal.positions import LogPosition
 from toucandeal.promotion import ServerReport
 from toucandeal.tests.sample_tables import NOW, new_tables
@@ -92,6 +95,39 @@
     assert choose({'b': 9, 'c': 5}, 'ab', planned=True) == 'b'
 
 
+@pytest.mark.parametrize(
+    ('answers_after_s', 'chosen'), [(0.8, 'b'), (math.inf, 'c')]
+)
+def test_a_busy_replica_with_the_last_commits_takes_over(
+    answers_after_s, chosen
+):
+    # Guards against the loss of commits that were acknowledged because a
+    # replica had received them that refuses to report its status for a while.
+    clock = Clock()
+    clock.advance(NOW)
+    tables = new_tables()
+    server_load(tables, 'b').received = LogPosition(3, 9)
+
+    def gather(servers):
+        received = {'c': 5}
+        if clock.seconds() >= NOW + answers_after_s:
+            received['b'] = 9
+        return Reports(received).gather(servers)
+
+    reports = Reports({})
+    reports.gather = gather
+    choice = PromotionChoice(clock, tables, Watch(), reports)
+    record = GroupRecord('g', 'a', 3, changing=True)
+    outcomes = []
+    with virtual_time(clock.seconds):
+        defer.ensureDeferred(
+            choice.choose_replica(record, planned=False)
+        ).addBoth(outcomes.append)
+        while not outcomes and clock.seconds() < NOW + 3 * REPORTS_TIMEOUT_S:
+            clock.advance(STEP_S)
+    assert outcomes[0][0].name == chosen
+
+
 def test_a_planned_promotion_leaves_no_server_for_one_that_is_leaving():
     assert choose({'a': 9, 'b': 9, 'c': 5}, 'ab', planned=True) is None
 
