--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -8,9 +8,11 @@
 from toucandeal.caller_sessions import (
     CallerSession,
     PreparedShape,
+    PrepareShape,
     SetupStep,
     apply_step,
     setup_steps,
+    shape_name,
 )
 from toucandeal.connection_shares import connection_share, decayed_demand
 from toucandeal.fleet import Server
@@ -53,6 +55,7 @@
 INTERNAL_PRIORITY = -1  # this proxy's own requests precede all callers'
 IDLE_SPARES = 2  # per server, so that a failover needs no handshakes
 WORKSPACE_USE_DECAY = 0.9  # each maintenance interval, 0.25 s
+LOGGED_SHAPE_LENGTH = 80  # characters; a shape may have up to 64 KB
 LOGGED_USES = frozenset((PositionUse.FIRST_SAMPLE, PositionUse.LATE))
 
 
@@ -212,6 +215,8 @@
             load.in_flight -= 1
         now = steady_seconds()
         self._record_answer(server, answer, sent_at, now)
+        if isinstance(request, PrepareShape):
+            _log_prepared(server, request.prepared, answer)
         if answer.kind is AnswerKind.UNKNOWN_STATEMENT:
             connection.connection_state.shapes.clear()
         if isinstance(request, Forward) and answer.kind is AnswerKind.COMPLETED:
@@ -471,5 +476,18 @@
         connection.close()
 
 
+def _log_prepared(
+    server: Server, prepared: PreparedShape, answer: ServerAnswer
+) -> None:
+    log_event(
+        'prepared',
+        server=server.name,
+        name=shape_name(prepared),
+        writes=prepared.writes,
+        shape=prepared.shape[:LOGGED_SHAPE_LENGTH],
+        outcome=answer.kind.value,
+    )
+
+
 def _log_ignored(server: Server, reason: str) -> None:
     log_event('suspicion ignored', server=server.name, reason=reason)
