Name prepared statements on server connections by a digest of their shape

Cause: the name on a server connection was the text of the shape. A shape is the last field of its line and may contain spaces; a name ends at the first one. PREPARE of 'q1 WRITE yh' as a write was sent as 'PREPARE w_q1 WRITE yh WRITE q1 WRITE yh', which prepares another shape under the name of 'q1'.

Now the name is the kind and a digest of 16 bytes, one word for every text, and the shape is prepared exactly as it was sent.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -7,6 +7,7 @@
 keep them across sessions.
 """
 
+import hashlib
 import itertools
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -34,6 +35,7 @@
 # Of a session's values and prepared statements, with their names.
 STATE_LIMIT_BYTES = 65_536
 _ENTRY_BYTES = 100  # of memory for each, besides the text
+_DIGEST_BYTES = 16  # of a shape; a caller can't find two with the same digest
 
 
 class PreparedShape(NamedTuple):
@@ -163,12 +165,20 @@
 def shape_name(prepared: PreparedShape) -> str:
     """Return the proxy's name for a shape on server connections.
 
+    A shape may have any characters and a name may not, so the name is a digest.
+    All proxies derive the same one, whose connections are lent to each other.
+
     Examples
     --------
     >>> shape_name(PreparedShape('q2c', True))
-    'w_q2c'
+    'w_bec4366cb4b5e68634e8f9fc5fa9179f'
+    >>> len(shape_name(PreparedShape('q2c WRITE q3', True)))
+    34
     """
-    return f'{"w" if prepared.writes else "r"}_{prepared.shape}'
+    digest = hashlib.blake2b(
+        prepared.shape.encode(), digest_size=_DIGEST_BYTES
+    ).hexdigest()
+    return f'{"w" if prepared.writes else "r"}_{digest}'
 
 
 def setup_steps(
--- a/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
@@ -1,6 +1,9 @@
 """Sessions, and their state on pooled connections."""
 
-from hypothesis import settings
+import itertools
+import re
+
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
@@ -42,6 +45,22 @@
     assert shape_name(READ) != shape_name(WRITE)
 
 
+@given(st.text(), st.booleans())
+def test_the_name_of_a_shape_is_one_word(shape, writes):
+    # Guards against a name that ends at a space of its shape.
+    name = shape_name(PreparedShape(shape, writes))
+    assert re.fullmatch('[rw]_[0-9a-f]{32}', name)
+
+
+@given(st.lists(st.text(alphabet='q1 \t', max_size=4), unique=True))
+def test_no_two_shapes_have_one_name(shapes):
+    names = {
+        shape_name(PreparedShape(shape, writes))
+        for shape, writes in itertools.product(shapes, (False, True))
+    }
+    assert len(names) == 2 * len(shapes)
+
+
 def test_a_session_without_a_transaction_is_idle():
     session = CallerSession(1, 'db')
     assert session.state == 'idle'
