Withhold shapes that a lender of the build before would mix up

While two builds run, a proxy may borrow a connection of a lender that still names shapes by their text.

The reply to a loan says now whether the lender takes shapes of any text; a build before sends none, and ignores it. On a loan of such a lender nothing counts as prepared yet, and a shape that is not a single field is withheld, so its caller gets RETRY and may come out at another proxy. In the other direction nothing differs: names are derived where the connection was opened. A connection whose set-up was not run is kept now instead of closed, as its state is known; otherwise each such statement would cost the lender a connection.

Both tests in test_loans.py fail without the change: the shape is sent, and the shapes count as prepared.

--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -6,7 +6,12 @@
 
 from twisted.internet import defer
 
-from toucandeal.caller_sessions import ConnectionState, PreparedShape
+from toucandeal.caller_sessions import (
+    ConnectionState,
+    PreparedShape,
+    PrepareShape,
+    is_single_field,
+)
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.lending import (
@@ -34,6 +39,7 @@
     encode_request,
 )
 from toucandeald.logs import log_event
+from toucandeald.replies import withheld
 from toucandeald.session_messages import (
     AnswerKind,
     ServerAnswer,
@@ -80,7 +86,11 @@
 
 
 class BorrowedConnection:
-    """A borrowed connection, with the interface of one opened directly."""
+    """A borrowed connection, with the interface of one opened directly.
+
+    `takes_any_shape` is set unless the lender is of a build that mixes up
+    shapes which are not a single field.
+    """
 
     borrowed = True
 
@@ -92,6 +102,7 @@
         self.usable = True
         self.on_closed = _ignore
         self.lender = lender
+        self.takes_any_shape = False
         self._clock = clock
         self._send = send
         self._own = own
@@ -110,6 +121,10 @@
         """Send a request and return a Deferred of its `ServerAnswer`."""
         if not self.usable or self.busy:
             return defer.succeed(lost('the connection is closed'))
+        if self._mixes_up(request):
+            return defer.succeed(
+                withheld('the lender has an earlier build; retry elsewhere')
+            )
         self._sequence += 1
         answer: defer.Deferred = defer.Deferred()
         self._answer = answer
@@ -155,6 +170,14 @@
         if self._answer is not None:
             self._deliver(lost(reason))
 
+    def _mixes_up(self, request: ServerRequest) -> bool:
+        """Return whether the lender would prepare another shape."""
+        return (
+            isinstance(request, PrepareShape)
+            and not self.takes_any_shape
+            and not is_single_field(request.prepared.shape)
+        )
+
     def _end(self, *, reusable: bool) -> None:
         self.usable = False
         if self._ended:
@@ -380,9 +403,12 @@
                 return NOT_LENT
             return LENDER_BUSY if lent.busy else NOT_LENT
         connection.connection_state.values.update(lent.values)
-        connection.connection_state.shapes.update(
-            PreparedShape(shape, writes) for shape, writes in lent.shapes
-        )
+        if lent.takes_any_shape:
+            # Otherwise a name may stand for another one of the shapes.
+            connection.takes_any_shape = True
+            connection.connection_state.shapes.update(
+                PreparedShape(shape, writes) for shape, writes in lent.shapes
+            )
         self._connections[loan_id] = connection
         return connection
 
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -135,6 +135,7 @@
                 True,
                 connection.connection_state.values,
                 shapes,
+                takes_any_shape=True,
             ),
         )
 
--- a/packages/toucandeald/src/toucandeald/lending_wire.py
+++ b/packages/toucandeald/src/toucandeald/lending_wire.py
@@ -77,6 +77,8 @@
     """The answer to `LoanRequest`, with the connection state if granted.
 
     `busy` is whether it was refused because others wait for the connections.
+    `takes_any_shape` is whether shapes of any text may be prepared; a lender
+    of a build without the field mixes up those that are not a single field.
     """
 
     sender: str
@@ -85,6 +87,7 @@
     values: dict[str, str]
     shapes: list[tuple[str, bool]]
     busy: bool = False
+    takes_any_shape: bool = False
 
 
 class BorrowedRequest(msgspec.Struct, tag='q', array_like=True):
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -176,7 +176,8 @@
             return None
         if await self.apply_session(server, connection, session, shapes):
             return connection
-        pool.discard(connection)
+        # The state of one that is still open is known.
+        self.release(server, connection)
         return None
 
     async def apply_session(
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -1,5 +1,6 @@
 """Loans of connections, with messages that are lost or late."""
 
+import msgspec
 import pytest
 from twisted.internet import defer
 from twisted.internet.task import Clock
@@ -207,6 +208,41 @@
     assert second.connection_state.shapes == {PreparedShape('q', False)}
 
 
+def as_earlier_lender(pair, monkeypatch):
+    """Let the lender reply as one of a build without `takes_any_shape`."""
+    received = pair.borrowing.received
+
+    def receive(message):
+        if isinstance(message, LoanReply):
+            message = msgspec.structs.replace(message, takes_any_shape=False)
+        received(message)
+
+    monkeypatch.setattr(pair.borrowing, 'received', receive)
+
+
+def test_an_earlier_lender_prepares_no_shape_that_it_would_mix_up(
+    pair, monkeypatch
+):
+    # Guards against shapes that run as others while two builds run.
+    as_earlier_lender(pair, monkeypatch)
+    connection = pair.borrow_connection()
+    results = []
+    connection.call(
+        PrepareShape(PreparedShape('q WRITE a', False)), 1.0
+    ).addCallback(results.append)
+    assert results[0].kind is AnswerKind.WITHHELD and connection.usable
+    assert not pair.connections[0].requests
+    connection.call(PrepareShape(PreparedShape('q', False)), 1.0)
+    assert len(pair.connections[0].requests) == 1
+
+
+def test_shapes_of_an_earlier_lender_are_prepared_again(pair, monkeypatch):
+    # Guards against a name that stands for another shape at the lender.
+    pair.connections[0].connection_state.shapes.add(PreparedShape('q', False))
+    as_earlier_lender(pair, monkeypatch)
+    assert not pair.borrow_connection().connection_state.shapes
+
+
 def test_lost_answer_ends_the_loan_and_the_connection(pair):
     connection = pair.borrow_connection()
     results = []
