Check each field where a line is encoded

Lines to servers were formatted from names and texts without a check: the group and the workspace of STARTUP come from the configuration, of which only the server's name was checked, and a borrower's text goes to the lender's servers as it came, also that of a build that does not check its callers' requests. Reasons of replies are free text as well.

Positions and terms take decimal digits only, as int() raises for other characters that isdigit() accepts.

--- a/packages/toucandeal/src/toucandeal/errors.py
+++ b/packages/toucandeal/src/toucandeal/errors.py
@@ -8,6 +8,7 @@
 __all__ = [
     'BadBody',
     'BadCommand',
+    'BadField',
     'BadRequestError',
     'BadSetting',
     'BadToken',
@@ -55,6 +56,12 @@
     kind = 'bad_body'
 
 
+class BadField(BadRequestError):
+    """A text that a line of a protocol can't carry as this field."""
+
+    kind = 'bad_field'
+
+
 class BodyTooLarge(BadRequestError):
     """The body exceeds the size limit."""
 
--- a/packages/toucandeal/src/toucandeal/fleet.py
+++ b/packages/toucandeal/src/toucandeal/fleet.py
@@ -201,7 +201,7 @@
     True
     """
     term, _, index = text.partition('.')
-    if term.isdigit() and index.isdigit():
+    if term.isdecimal() and index.isdecimal():
         return LogPosition(int(term), int(index))
     return None
 
