Limit the shapes that a server connection holds

A connection kept every shape that any session had ever used on it; only a session had a limit (64 KB).

A connection holds 64 KB of shapes now. Beyond that the shapes that the next statement doesn't need are cleared with RESET, and the session's values set again; neither takes a slot of the server. In a transaction nothing is reset: there a connection may hold as much again, which is enough for all shapes of a session, and after that the transaction is rolled back. Both new tests fail without the limit; the model of pooled connections runs with small limits as well.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -10,12 +10,14 @@
 import hashlib
 import itertools
 from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 from typing import NamedTuple
 
 from toucandeal.fleet import Route
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 
 __all__ = [
+    'CONNECTION_LIMIT_BYTES',
     'CallerSession',
     'ConnectionState',
     'OpenTransaction',
@@ -36,6 +38,8 @@
 # Of a session's values and prepared statements, with their names.
 STATE_LIMIT_BYTES = 65_536
 _ENTRY_BYTES = 100  # of memory for each, besides the text
+# Of the shapes that a connection holds for all the sessions that used it.
+CONNECTION_LIMIT_BYTES = 65_536
 _DIGEST_BYTES = 16  # of a shape; a caller can't find two with the same digest
 
 
@@ -72,7 +76,30 @@
     def __init__(self) -> None:
         """Start with the state of a new connection."""
         self.values: dict[str, str] = {}
-        self.shapes: set[PreparedShape] = set()
+        self._shapes: set[PreparedShape] = set()
+        self._shape_bytes = 0
+
+    @property
+    def shapes(self) -> AbstractSet[PreparedShape]:
+        """Return the prepared shapes."""
+        return self._shapes
+
+    @property
+    def shape_bytes(self) -> int:
+        """Return about how much memory the prepared shapes take."""
+        return self._shape_bytes
+
+    def add_shapes(self, shapes: Iterable[PreparedShape]) -> None:
+        """Note shapes that were prepared."""
+        for prepared in shapes:
+            if prepared not in self._shapes:
+                self._shapes.add(prepared)
+                self._shape_bytes += _memory_bytes(prepared)
+
+    def clear_shapes(self) -> None:
+        """Note that no shape is prepared."""
+        self._shapes.clear()
+        self._shape_bytes = 0
 
 
 class OpenTransaction:
@@ -199,6 +226,7 @@
     connection_state: ConnectionState,
     values: dict[str, str],
     shapes: Iterable[PreparedShape],
+    limit_bytes: int = CONNECTION_LIMIT_BYTES,
 ) -> list[SetupStep]:
     """Return the steps that bring a connection into a session's state.
 
@@ -210,6 +238,8 @@
         The session's values; the connection must have no others.
     shapes : iterable of PreparedShape
         The shapes that the next statement needs; others may stay prepared.
+    limit_bytes : int
+        Of the prepared shapes, beyond which the others are cleared.
 
     Examples
     --------
@@ -220,9 +250,15 @@
     >>> setup_steps(state, {}, [])
     [ResetSession()]
     """
-    needs_reset = any(name not in values for name in connection_state.values)
+    missing = [
+        shape
+        for shape in dict.fromkeys(shapes)
+        if shape not in connection_state.shapes
+    ]
+    needs_reset = any(
+        name not in values for name in connection_state.values
+    ) or _exceeds_limit(connection_state, missing, limit_bytes)
     current_values = {} if needs_reset else connection_state.values
-    prepared_shapes = set() if needs_reset else connection_state.shapes
     return list(
         itertools.chain(
             [ResetSession()] if needs_reset else [],
@@ -231,10 +267,8 @@
                 for name, setting in values.items()
                 if current_values.get(name) != setting
             ),
-            (
-                PrepareShape(shape)
-                for shape in dict.fromkeys(shapes)
-                if shape not in prepared_shapes
+            map(
+                PrepareShape, dict.fromkeys(shapes) if needs_reset else missing
             ),
         )
     )
@@ -246,7 +280,23 @@
         case SetValue(name, setting):
             connection_state.values[name] = setting
         case PrepareShape(prepared):
-            connection_state.shapes.add(prepared)
+            connection_state.add_shapes([prepared])
         case ResetSession():
             connection_state.values.clear()
-            connection_state.shapes.clear()
+            connection_state.clear_shapes()
+
+
+def _memory_bytes(prepared: PreparedShape) -> int:
+    return len(prepared.shape) + _ENTRY_BYTES
+
+
+def _exceeds_limit(
+    connection_state: ConnectionState,
+    missing: list[PreparedShape],
+    limit_bytes: int,
+) -> bool:
+    """Return whether clearing a connection's shapes makes room for others."""
+    held = connection_state.shape_bytes
+    if not (missing and held):
+        return False
+    return held + sum(map(_memory_bytes, missing)) > limit_bytes
--- a/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from toucandeal.caller_sessions import (
+    CONNECTION_LIMIT_BYTES,
     CallerSession,
     ConnectionState,
     PreparedShape,
@@ -61,6 +62,25 @@
     assert len(names) == 2 * len(shapes)
 
 
+def test_shapes_of_all_sessions_do_not_fill_a_connection():
+    # Guards against callers with ever new shapes, which fill the memory of the
+    # proxy and of the server.
+    connection_state = ConnectionState()
+    for number in range(2000):
+        shape = PreparedShape(f'q{number} {"x" * 500}', False)
+        for step in setup_steps(connection_state, {'zone': 'a'}, [shape]):
+            apply_step(connection_state, step)
+        assert shape in connection_state.shapes
+        assert connection_state.values == {'zone': 'a'}
+        assert connection_state.shape_bytes <= CONNECTION_LIMIT_BYTES
+
+
+def test_a_shape_that_is_prepared_needs_no_room():
+    connection_state = ConnectionState()
+    apply_step(connection_state, PrepareShape(READ))
+    assert setup_steps(connection_state, {}, [READ], limit_bytes=1) == []
+
+
 def test_a_session_without_a_transaction_is_idle():
     session = CallerSession(1, 'db')
     assert session.state == 'idle'
@@ -69,8 +89,9 @@
 class PooledConnections(RuleBasedStateMachine):
     """Sessions that share two connections never see each other's state."""
 
-    @initialize()
-    def begin(self):
+    @initialize(limit_bytes=st.sampled_from([1, 250, CONNECTION_LIMIT_BYTES]))
+    def begin(self, limit_bytes):
+        self.limit_bytes = limit_bytes
         self.sessions = [CallerSession(n, 'db') for n in range(3)]
         self.connection_states = [ConnectionState(), ConnectionState()]
         # The state of each connection at its server.
@@ -105,7 +126,10 @@
         caller = self.sessions[session]
         connection_state = self.connection_states[connection]
         shapes = list(caller.prepared.values())
-        for step in setup_steps(connection_state, caller.values, shapes):
+        steps = setup_steps(
+            connection_state, caller.values, shapes, self.limit_bytes
+        )
+        for step in steps:
             self._apply_at_server(connection, step)
             apply_step(connection_state, step)
         assert self.values[connection] == caller.values
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -406,7 +406,7 @@
         if lent.takes_any_shape:
             # Otherwise a name may stand for another one of the shapes.
             connection.takes_any_shape = True
-            connection.connection_state.shapes.update(
+            connection.connection_state.add_shapes(
                 PreparedShape(shape, writes) for shape, writes in lent.shapes
             )
         self._connections[loan_id] = connection
--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -67,6 +67,7 @@
                 transaction.connection,
                 call.session,
                 call.shapes,
+                in_transaction=True,
             )
             if not applied:
                 return self._abort(call, 'the session could not be set up')
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -6,9 +6,11 @@
 from collections.abc import Iterable
 
 from toucandeal.caller_sessions import (
+    CONNECTION_LIMIT_BYTES,
     CallerSession,
     PreparedShape,
     PrepareShape,
+    ResetSession,
     SetupStep,
     apply_step,
     setup_steps,
@@ -186,11 +188,21 @@
         connection,
         session: CallerSession,
         shapes: Iterable[PreparedShape],
+        *,
+        in_transaction: bool = False,
     ) -> bool:
-        """Set up a connection for the session; return whether it succeeded."""
-        for step in setup_steps(
-            connection.connection_state, session.values, shapes
-        ):
+        """Set up a connection for the session; return whether it succeeded.
+
+        A connection is not reset in a transaction. There it may hold as much
+        again, which is enough for all shapes of a session.
+        """
+        limit_bytes = CONNECTION_LIMIT_BYTES * (1 + in_transaction)
+        steps = setup_steps(
+            connection.connection_state, session.values, shapes, limit_bytes
+        )
+        if in_transaction and ResetSession() in steps:
+            return False
+        for step in steps:
             answer = await self.call(server, connection, step, SETUP_TIMEOUT_S)
             record_setup(connection, step, answer)
             if answer.kind is not AnswerKind.COMPLETED:
@@ -219,7 +231,7 @@
         if isinstance(request, PrepareShape):
             _log_prepared(server, request.prepared, answer)
         if answer.kind is AnswerKind.UNKNOWN_STATEMENT:
-            connection.connection_state.shapes.clear()
+            connection.connection_state.clear_shapes()
         if isinstance(request, Forward) and answer.kind is AnswerKind.COMPLETED:
             load.observe_latency(now - sent_at, now)
         return answer
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -238,7 +238,7 @@
 
 def test_shapes_of_an_earlier_lender_are_prepared_again(pair, monkeypatch):
     # Guards against a name that stands for another shape at the lender.
-    pair.connections[0].connection_state.shapes.add(PreparedShape('q', False))
+    pair.connections[0].connection_state.add_shapes([PreparedShape('q', False)])
     as_earlier_lender(pair, monkeypatch)
     assert not pair.borrow_connection().connection_state.shapes
 
--- a/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
@@ -5,6 +5,7 @@
 from twisted.internet.task import Clock
 
 from toucandeal.caller_sessions import (
+    CONNECTION_LIMIT_BYTES,
     CallerSession,
     ConnectionState,
     PreparedShape,
@@ -170,7 +171,7 @@
         ServerAnswer(AnswerKind.UNKNOWN_STATEMENT, [], '', 'unknown')
     )
     shape = PreparedShape('q', writes=False)
-    connection.connection_state.shapes.add(shape)
+    connection.connection_state.add_shapes([shape])
     statement = Statement(Verb.EXECUTE, 'EXECUTE s a')
     with virtual_time(proxy.clock.seconds):
         defer.ensureDeferred(
@@ -258,3 +259,32 @@
                 proxy.pools.call(server, connection, ReportStatus(), 1.0)
             )
     assert is_confirmed(proxy.tables, 'g', 'a', LogPosition(3, 9))
+
+
+def test_a_connection_is_not_reset_in_a_transaction():
+    # Guards against values that a statement of a transaction lacks, and against
+    # transactions that fill a connection with shapes.
+    proxy = DarkServer()
+    connection = SetupConnection(ServerAnswer(AnswerKind.COMPLETED, [], '', ''))
+    session = CallerSession(1, 'db')
+    held = PreparedShape('x' * CONNECTION_LIMIT_BYTES, False)
+    connection.connection_state.add_shapes([held])
+
+    def applied(shape):
+        with virtual_time(proxy.clock.seconds):
+            return defer.ensureDeferred(
+                proxy.pools.apply_session(
+                    proxy.server,
+                    connection,
+                    session,
+                    [shape],
+                    in_transaction=True,
+                )
+            ).result
+
+    assert applied(PreparedShape('q', False))
+    assert not applied(held._replace(writes=True))
+    assert connection.connection_state.shapes == {
+        held,
+        PreparedShape('q', False),
+    }
