Tell that a transaction is open when a request of it is not sent

A lender refuses to send a borrower's text that is not of the protocol. Its answer read as one outside a transaction.

The test failed before.

--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -155,7 +155,9 @@
                 loan.server, loan.connection, request, forwarded.timeout_s
             )
         else:
-            answer = withheld('the lender is about to stop')
+            answer = withheld('the lender is about to stop')._replace(
+                in_transaction=loan.connection.in_transaction
+            )
         if isinstance(request, SetupStep):
             record_setup(loan.connection, request, answer)
         if key in self._loans:
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -52,6 +52,7 @@
     def __init__(self):
         self.connection_state = ConnectionState()
         self.usable = True
+        self.in_transaction = False
         self.requests = []
         self.pending = []
 
@@ -181,7 +182,13 @@
         results.append
     )
     assert results[0].kind is AnswerKind.WITHHELD and connection.usable
+    assert not results[0].in_transaction
     assert not pair.connections[0].requests
+    pair.connections[0].in_transaction = True
+    connection.call(BeginTransaction(read_only=True), 1.0).addCallback(
+        results.append
+    )
+    assert results.pop().in_transaction
     connection.call(RollBack(), 1.0).addCallback(results.append)
     pair.connections[0].pending[0].callback(DONE)
     assert results[1] == DONE
