Close a pooled connection whose set-up fails, unless it was not sent

An answer may still say that the connection is inside a transaction; the pool would have used it there, or failed each later set-up.

Only a set-up that this proxy or its lender did not send leaves the connection in the pool. apply_session returns the failed answer, so the reason of an aborted transaction names it.

--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -62,15 +62,17 @@
         with self._context.primary_work.track(placement):
             if not self._context.validation.is_current(placement):
                 return self._abort(call, 'the primary may have changed')
-            applied = await self._context.pools.apply_session(
+            failure = await self._context.pools.apply_session(
                 placement.server,
                 transaction.connection,
                 call.session,
                 call.shapes,
                 in_transaction=True,
             )
-            if not applied:
-                return self._abort(call, 'the session could not be set up')
+            if failure is not None:
+                return self._abort(
+                    call, f'the session could not be set up: {failure.reason}'
+                )
             if not holds_workspace(self._context.tables, call.session):
                 return self._abort(call, KEY_CHANGED)
             transaction.wrote = transaction.wrote or call.writes
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -35,7 +35,7 @@
 from toucandeald.connection_pool import ConnectionPool, OpenConnection
 from toucandeald.full_servers import open_or_borrow
 from toucandeald.logs import log_event
-from toucandeald.replies import NO_EFFECT
+from toucandeald.replies import NO_EFFECT, withheld
 from toucandeald.session_messages import (
     AnswerKind,
     Forward,
@@ -176,10 +176,13 @@
             load.waiting -= 1
         if connection is None:
             return None
-        if await self.apply_session(server, connection, session, shapes):
+        failure = await self.apply_session(server, connection, session, shapes)
+        if failure is None:
             return connection
-        # The state of one that is still open is known.
-        self.release(server, connection)
+        if failure.kind is AnswerKind.WITHHELD and not failure.in_transaction:
+            self.release(server, connection)
+        else:
+            self.discard(server, connection)
         return None
 
     async def apply_session(
@@ -190,8 +193,8 @@
         shapes: Iterable[PreparedShape],
         *,
         in_transaction: bool = False,
-    ) -> bool:
-        """Set up a connection for the session; return whether it succeeded.
+    ) -> ServerAnswer | None:
+        """Set up a connection for the session; return the answer if it fails.
 
         A connection is not reset in a transaction. There it may hold as much
         again, which is enough for all shapes of a session.
@@ -201,13 +204,13 @@
             connection.connection_state, session.values, shapes, limit_bytes
         )
         if in_transaction and ResetSession() in steps:
-            return False
+            return withheld('the transaction has prepared too many statements')
         for step in steps:
             answer = await self.call(server, connection, step, SETUP_TIMEOUT_S)
             record_setup(connection, step, answer)
             if answer.kind is not AnswerKind.COMPLETED:
-                return False
-        return True
+                return answer
+        return None
 
     async def call(
         self,
--- a/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
@@ -9,6 +9,7 @@
     CallerSession,
     ConnectionState,
     PreparedShape,
+    PrepareShape,
 )
 from toucandeal.fleet import (
     GroupRecord,
@@ -159,7 +160,7 @@
         applied = defer.ensureDeferred(
             proxy.pools.apply_session(proxy.server, connection, session, [])
         )
-        assert applied.result is False
+        assert applied.result.kind is kind
     assert connection.usable is usable
     assert connection.connection_state.values == held
 
@@ -270,7 +271,7 @@
     held = PreparedShape('x' * CONNECTION_LIMIT_BYTES, False)
     connection.connection_state.add_shapes([held])
 
-    def applied(shape):
+    def failure(shape):
         with virtual_time(proxy.clock.seconds):
             return defer.ensureDeferred(
                 proxy.pools.apply_session(
@@ -282,9 +283,35 @@
                 )
             ).result
 
-    assert applied(PreparedShape('q', False))
-    assert not applied(held._replace(writes=True))
+    assert failure(PreparedShape('q', False)) is None
+    assert failure(held._replace(writes=True)).kind is AnswerKind.WITHHELD
     assert connection.connection_state.shapes == {
         held,
         PreparedShape('q', False),
     }
+
+
+def test_a_connection_whose_setup_ends_in_a_transaction_is_closed():
+    # Guards against a connection that is pooled inside a transaction.
+    proxy = DarkServer()
+    connection = SetupConnection(
+        ServerAnswer(
+            AnswerKind.MALFORMED, [], '', 'failed', in_transaction=True
+        )
+    )
+    proxy.pools._open_connection = lambda *_: defer.succeed(connection)
+    session = CallerSession(1, 'db')
+    session.values['zone'] = 'a'
+    ends_at = proxy.clock.seconds() + 1
+    results = []
+    with virtual_time(proxy.clock.seconds):
+        defer.ensureDeferred(
+            proxy.pools.acquire(
+                proxy.server,
+                session,
+                [],
+                ConnectionRequest(1, 'db', ends_at, ends_at),
+            )
+        ).addCallback(results.append)
+    assert results == [None]
+    assert not connection.usable
