Take a request that was not sent for no sign of its server

The answer that stands for a request which a proxy or a lender did not send was recorded like a server's: it cleared the mark of an unreachable server, renewed the time it was last heard and counted as a round trip of no time. A dark primary would have looked alive to the proxies that choose its successor. Requests withheld by a stopping lender did this before as well. Found by the review; its test with a stub failed before.

--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -393,6 +393,8 @@
         self, server: Server, answer: ServerAnswer, sent_at: float, now: float
     ) -> None:
         load = server_load(self._tables, server.name)
+        if answer.kind is AnswerKind.WITHHELD:
+            return  # the server has not seen the request
         if answer.kind is AnswerKind.LOST:
             if not self.stopped:
                 self.on_suspicion(server, answer.reason)
--- a/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_pools.py
@@ -30,6 +30,7 @@
 from toucandeal.store_versions import StoreVersion
 from toucandeal.tests.sample_tables import NOW, new_tables
 from toucandeald.borrowing import Borrowing
+from toucandeald.replies import withheld
 from toucandeald.server_pools import ServerPools
 from toucandeald.session_messages import (
     AnswerKind,
@@ -315,3 +316,22 @@
         ).addCallback(results.append)
     assert results == [None]
     assert not connection.usable
+
+
+def test_a_request_that_was_not_sent_is_no_sign_of_a_server():
+    # Guards against a promotion that is delayed because a dark server seems to
+    # have answered.
+    proxy = DarkServer()
+    connection = SetupConnection(withheld('it was not sent'))
+    load = server_load(proxy.tables, 'b')
+    load.unreachable_since = NOW - 1
+    with virtual_time(proxy.clock.seconds):
+        defer.ensureDeferred(
+            proxy.pools.call(
+                proxy.server,
+                connection,
+                PrepareShape(PreparedShape('q a', writes=False)),
+                1.0,
+            )
+        )
+    assert load.unreachable_since == NOW - 1
