Let each statement of a transaction use a shape of its own

In a transaction the limit is that of a session for each of its 12 statements. The next statement outside a transaction still resets the connection. Shapes are counted in bytes instead of characters.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -27,6 +27,7 @@
     'SetValue',
     'SetupStep',
     'STATE_LIMIT_BYTES',
+    'TRANSACTION_LIMIT_BYTES',
     'apply_step',
     'exceeds_state_limit',
     'is_single_field',
@@ -40,6 +41,10 @@
 _ENTRY_BYTES = 100  # of memory for each, besides the text
 # Of the shapes that a connection holds for all the sessions that used it.
 CONNECTION_LIMIT_BYTES = 65_536
+# In a transaction, whose statements may each use a shape as large as the limit of
+# a session allows.
+_TRANSACTION_STATEMENTS = 12
+TRANSACTION_LIMIT_BYTES = CONNECTION_LIMIT_BYTES * (1 + _TRANSACTION_STATEMENTS)
 _DIGEST_BYTES = 16  # of a shape; a caller can't find two with the same digest
 
 
@@ -287,7 +292,7 @@
 
 
 def _memory_bytes(prepared: PreparedShape) -> int:
-    return len(prepared.shape) + _ENTRY_BYTES
+    return len(prepared.shape.encode()) + _ENTRY_BYTES
 
 
 def _exceeds_limit(
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -7,6 +7,7 @@
 
 from toucandeal.caller_sessions import (
     CONNECTION_LIMIT_BYTES,
+    TRANSACTION_LIMIT_BYTES,
     CallerSession,
     PreparedShape,
     PrepareShape,
@@ -196,12 +197,15 @@
     ) -> ServerAnswer | None:
         """Set up a connection for the session; return the answer if it fails.
 
-        A connection is not reset in a transaction. There it may hold as much
-        again, which is enough for all shapes of a session.
+        A connection is not reset in a transaction.
         """
-        limit_bytes = CONNECTION_LIMIT_BYTES * (1 + in_transaction)
         steps = setup_steps(
-            connection.connection_state, session.values, shapes, limit_bytes
+            connection.connection_state,
+            session.values,
+            shapes,
+            TRANSACTION_LIMIT_BYTES
+            if in_transaction
+            else CONNECTION_LIMIT_BYTES,
         )
         if in_transaction and ResetSession() in steps:
             return withheld('the transaction has prepared too many statements')
