Count a name that is prepared anew once

The limit of a session's values and prepared statements counted the shape that a PREPARE of a known name replaces, so 40 KB prepared twice under one name got MALFORMED, and a caller gives its attempt up after that. A value was not counted when a statement of the same name was prepared. Both new tests failed before. Bytes are counted instead of characters.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -41,8 +41,8 @@
 _ENTRY_BYTES = 100  # of memory for each, besides the text
 # Of the shapes that a connection holds for all the sessions that used it.
 CONNECTION_LIMIT_BYTES = 65_536
-# In a transaction, whose statements may each use a shape as large as the limit of
-# a session allows.
+# In a transaction each statement may use a shape as large as the limit of a
+# session allows.
 _TRANSACTION_STATEMENTS = 12
 TRANSACTION_LIMIT_BYTES = CONNECTION_LIMIT_BYTES * (1 + _TRANSACTION_STATEMENTS)
 _DIGEST_BYTES = 16  # of a shape; a caller can't find two with the same digest
@@ -167,7 +167,9 @@
         return 'failed' if self.transaction.failure else 'open'
 
 
-def exceeds_state_limit(session: CallerSession, name: str, text: str) -> bool:
+def exceeds_state_limit(
+    session: CallerSession, name: str, text: str, *, prepares: bool = False
+) -> bool:
     """Return whether a value or prepared statement would be too much.
 
     It answers a flood of values and names, which last until the session ends.
@@ -176,7 +178,10 @@
     ----------
     session : CallerSession
     name, text : str
-        Of the value or prepared statement, and its setting or shape.
+        Of the value or prepared statement, and its setting or shape. It
+        replaces the one of the same name.
+    prepares : bool
+        Whether it is a prepared statement.
 
     Examples
     --------
@@ -186,12 +191,17 @@
     >>> exceeds_state_limit(session, 'zone', 'a' * STATE_LIMIT_BYTES)
     True
     """
-    texts = itertools.chain(
-        [(name, text)],
-        (entry for entry in session.values.items() if entry[0] != name),
-        ((known, each.shape) for known, each in session.prepared.items()),
+    shapes = {known: each.shape for known, each in session.prepared.items()}
+    values = session.values
+    if prepares:
+        shapes[name] = text
+    else:
+        values = {**values, name: text}
+    texts = itertools.chain(values.items(), shapes.items())
+    used = sum(
+        len(known.encode()) + len(each.encode()) + _ENTRY_BYTES
+        for known, each in texts
     )
-    used = sum(len(known) + len(each) + _ENTRY_BYTES for known, each in texts)
     return used > STATE_LIMIT_BYTES
 
 
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -314,7 +314,10 @@
 def change_session(session: CallerSession, statement: Statement) -> CallerReply:
     """Change a session's values or prepared statements."""
     if statement.verb is not Verb.DEALLOCATE and exceeds_state_limit(
-        session, statement.name, statement.argument
+        session,
+        statement.name,
+        statement.argument,
+        prepares=statement.verb is Verb.PREPARE,
     ):
         return reply(
             session,
--- a/packages/toucandeald/src/toucandeald/tests/test_session_service.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_session_service.py
@@ -37,3 +37,24 @@
         Statement(Verb.DEALLOCATE, '', 's'),
     ):
         assert change_session(session, statement).kind is ReplyKind.DONE
+
+
+def test_a_name_that_is_prepared_anew_counts_once():
+    # Guards against an error for a shape that takes the place of another one.
+    session = CallerSession(1, 'db')
+    session.values['zone'] = 'x' * (STATE_LIMIT_BYTES // 2)
+    large = Statement(Verb.PREPARE, '', 's', 'x' * (STATE_LIMIT_BYTES // 3))
+    assert change_session(session, large).kind is ReplyKind.DONE
+    again = large._replace(argument=f'{large.argument}y')
+    assert change_session(session, again).kind is ReplyKind.DONE
+    other = large._replace(name='other')
+    assert change_session(session, other).kind is ReplyKind.MALFORMED
+
+
+def test_a_prepared_statement_does_not_replace_a_value_of_its_name():
+    # Guards against a session that holds more than its limit.
+    session = CallerSession(1, 'db')
+    large = Statement(Verb.SET, '', 's', 'x' * (STATE_LIMIT_BYTES // 2))
+    assert change_session(session, large).kind is ReplyKind.DONE
+    same_name = large._replace(verb=Verb.PREPARE)
+    assert change_session(session, same_name).kind is ReplyKind.MALFORMED
