Close a former lender's idle connections as soon as another one is heard

Cause, by the logs of three failures: a proxy that starts counts only those that have registered before it, so one after the other believes to be a lender and opens two spare connections to each server. Each former lender kept its idle ones for 4 s, though it may neither lend nor keep them after their next use. With a limit of four, two of them filled the server: the lender was refused (TOOMANYCON), its spares were to come 0.3 s later at the earliest, and the first proxy, which had just used its own connections for the last time, got none from it.

1.573 p2 connection not opened: r1, TOOMANYCON (the lender) 1.862 p1 not lent: r1, lender p2 1.863 p1 refused: no connection to the server was free in time, 1.4 ms

A connection that is released at a former lender has been closed at once all along; now those that are idle are closed too, within a maintenance interval (0.25 s). Until the new lender is heard, a former one keeps its own connections instead of closing them after use: it can't borrow meanwhile.

Both new unit tests fail without the change.

Cost: a proxy that is a lender again within 4 s (30 s with workspaces) opens its connections anew, as far as statements or spares need them.

--- a/packages/toucandeald/src/toucandeald/connection_pool.py
+++ b/packages/toucandeald/src/toucandeald/connection_pool.py
@@ -55,9 +55,11 @@
     """Open connections, and the statements that wait for one.
 
     With `divided` set, connections are opened only as far as that serves the
-    statements of their workspace sooner. `uses` counts, by workspace, the
-    connections acquired since the owner last cleared it. The server accepts no
-    more connections until `full_until`, as far as is known.
+    statements of their workspace sooner. `borrows` is set unless the owner may
+    open connections itself; without `retains_idle`, those that it has opened
+    are closed once they are idle. `uses` counts, by workspace, the connections
+    acquired since the owner last cleared it. The server accepts no more
+    connections until `full_until`, as far as is known.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self.server = server
         self.limit = 1
         self.opened = 0
+        self.borrows = False
         self.retains_idle = True
         self.divided = False
         self.full_until = -math.inf
@@ -174,6 +177,8 @@
 
         The connections of a proxy that loses power stay open at the server for
         seconds, so unused ones would block new connections after its return.
+        Those of a proxy that has ceased to be a lender leave no room for the
+        connections of the present one, and are not lent.
 
         Parameters
         ----------
@@ -187,7 +192,9 @@
         for connection, since in tuple(self._held.idle.items()):
             surplus = len(self._held.workspaces) - min(spares, self.limit)
             if surplus > 0 and (
-                len(self._held.workspaces) > self.limit or since < unused_since
+                not self.retains_idle
+                or len(self._held.workspaces) > self.limit
+                or since < unused_since
             ):
                 self.discard(connection)
 
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -132,12 +132,12 @@
                 pool = self.pool(server)
                 load = server_load(tables, server.name)
                 load.demand = decayed_demand(load.demand, pool.peak)
-                if self._divided and not pool.retains_idle:
+                if self._divided and pool.borrows:
                     # The active lender's demand includes that of its loans.
                     load.demand = 0
                 pool.begin_period()
                 self._update_limit(pool)
-                keeps_spares = pool.retains_idle and not server.leaving
+                keeps_spares = not (pool.borrows or server.leaving)
                 spares = IDLE_SPARES if keeps_spares else 0
                 pool.trim(spares)
                 pool.open_spare(spares, kept)
@@ -329,7 +329,7 @@
                 source, server, connection_request
             )
         pool = self.pool(server)
-        if not pool.retains_idle:  # this proxy has just become the lender
+        if pool.borrows:  # this proxy has just become the lender
             self._update_limit(pool)
         return await open_or_borrow(
             self._clock,
@@ -362,8 +362,11 @@
         if declared is None:
             return
         pool.divided = self._divided
-        pool.retains_idle = self._borrowing.source(pool.server) == OPEN_DIRECTLY
-        if not pool.retains_idle:
+        source = self._borrowing.source(pool.server)
+        pool.borrows = source != OPEN_DIRECTLY
+        # Until a lender is heard, those of this proxy serve its callers.
+        pool.retains_idle = source in {OPEN_DIRECTLY, NO_LENDER}
+        if pool.borrows:
             pool.limit = MAX_BORROWED
             return
         demands = self._demands(pool.server)
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -1,5 +1,7 @@
 """Loans of connections, with messages that are lost or late."""
 
+import itertools
+
 import msgspec
 import pytest
 from twisted.internet import defer
@@ -18,6 +20,7 @@
     Server,
 )
 from toucandeal.fleet_tables import FleetTables, PeerView, server_load
+from toucandeal.lending import lenders
 from toucandeal.statement_queue import ConnectionRequest
 from toucandeald.borrowing import (
     LENDER_BUSY,
@@ -382,6 +385,48 @@
     assert not pair.start_loan(priority=1)
 
 
+def _replace_lender(pair, *, heard):
+    """Let another proxy become the only lender while 'a' has spares."""
+    for _ in range(2):
+        pair.pools.update_pools()
+    limit = pair.tables['a'].configuration.groups['g'].connection_limit
+    lender = next(
+        name
+        for name in map('x{}'.format, itertools.count())
+        if lenders(SERVER.name, ('a', name), limit) == [name]
+    )
+    tables = pair.tables['a']
+    tables.primary_lease.registered = {
+        name: ProxyRecord(name, 1, f'{name}:1') for name in ('a', lender)
+    }
+    if heard:
+        tables.peers[lender] = PeerView(
+            lender, 1, f'{lender}:1', pair.clock.seconds(), False, True, {}
+        )
+    pair.pools.update_pools()
+
+
+def test_a_former_lender_closes_its_idle_connections(pair):
+    # Guards against a lender that can open no connection for seconds, because
+    # those that were lenders before it keep unused ones: the first proxies of a
+    # fleet that starts count only themselves.
+    _replace_lender(pair, heard=True)
+    assert len(pair.connections) == 2
+    assert not any(each.usable for each in pair.connections)
+
+
+def test_a_former_lender_keeps_its_connections_until_the_next_is_heard(pair):
+    # Guards against a proxy without any connection while it can't borrow.
+    _replace_lender(pair, heard=False)
+    pool = pair.pools.pool(SERVER)
+    for _ in pair.connections:
+        connection = _acquire(pool, pair.statement())[0]
+        pool.release(connection)
+    pair.pools.update_pools()
+    assert len(pair.connections) == 2
+    assert all(each.usable for each in pair.connections)
+
+
 def _acquire(pool, connection_request):
     results = []
     acquiring = defer.ensureDeferred(pool.acquire({}, [], connection_request))
