Keep a request that ends in an exception from stopping its proxy

What callers saw, on real processes: one keyed write with the parameter 2^64 got 500 'The proxy failed'. From then on that proxy refused every request for the group, of all callers ('no target before the deadline'; all 7 answers that were printed, of 46 sent), and showed all three targets as not available, with a lag that had grown to 23.9 s.

Cause: the fingerprint of the request can't encode integers above 64 bits. The exception left Targets.execute before its errback was in place, so the slot and the connection of the request were never free again, and the actions behind it in the frame, among them polls of the targets, were dropped. From 2^63 on, the error came at the server and the caller got an unknown outcome.

Parameters are now texts, numbers (integers of 64 bits), true, false or null; others get a clear bad_body before anything is sent. Besides, any exception at a target is logged and ends as an unknown outcome with the slot free, as the doc comment of execute has promised.

--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_callers.py
@@ -29,6 +29,11 @@
     return {**VALID, 'statements': [{'sql': sql}]}
 
 
+def _with_parameter(parameter):
+    statement = {'sql': 'SELECT ?', 'parameters': [parameter]}
+    return {**VALID, 'statements': [statement]}
+
+
 BAD_REQUESTS = [
     ('not JSON', STATEMENTS, b'{', '', 400, 'bad_body'),
     ('not UTF-8', STATEMENTS, b'"\xff"', '', 400, 'bad_body'),
@@ -43,6 +48,10 @@
     ('class', STATEMENTS, {**VALID, 'class': 'x'}, '', 404, 'unknown_name'),
     ('no key', STATEMENTS, {**WRITE, **_with_sql('x'), **WRITE}, '', 400, 'bad_body'),
     ('commit', STATEMENTS, _with_sql('-- x\n COMMIT'), '', 400, 'bad_body'),
+    ('commit behind ;', STATEMENTS, _with_sql(';COMMIT'), '', 400, 'bad_body'),
+    ('list as parameter', STATEMENTS, _with_parameter([1]), '', 400, 'bad_body'),
+    ('65 bits', STATEMENTS, _with_parameter(1 << 64), '', 400, 'bad_body'),
+    ('64 bits unsigned', STATEMENTS, _with_parameter(1 << 63), '', 400, 'bad_body'),
     ('begin', STATEMENTS, _with_sql('begin'), '', 400, 'bad_body'),
     ('own table', STATEMENTS, _with_sql('TABLE toucandeal_request'), '', 400, 'bad_body'),
     ('large', STATEMENTS, _with_sql('x' * (1 << 20)), '', 413, 'body_too_large'),
@@ -88,6 +97,24 @@
     assert post(address, STATEMENTS, VALID)[0] == 200
 
 
+@pytest.mark.parametrize('number', [1 << 63, 1 << 64, -(1 << 80)])
+def test_a_keyed_write_with_a_large_number_delays_no_other_caller(
+    shared, number
+):
+    # Guards against an exception that keeps the slot of its request and ends
+    # the polls of the targets, so that one caller stops the whole proxy.
+    body = {**WRITE, 'key': f'large {number}'}
+    statement = {'sql': 'SELECT ?', 'parameters': [number]}
+    address = shared.proxies[1].callers
+    status, _, answer = post(
+        address, STATEMENTS, {**body, 'statements': [statement]}
+    )
+    session = SyncSession(shared, 'conservators')
+    following = session.write(f'after {number}', [{'sql': 'SELECT 1'}], proxy=1)
+    assert following.outcome == 'served'
+    assert (status, answer['error']['kind']) == (400, 'bad_body')
+
+
 def test_each_request_gets_its_own_complete_answer(shared):
     session = SyncSession(shared, 'archivists')
     for number in range(50):
--- a/packages/toucandeald/src/toucandeald/caller_service.py
+++ b/packages/toucandeald/src/toucandeald/caller_service.py
@@ -32,6 +32,9 @@
 __all__ = ['CallerService', 'Reply', 'error_reply']
 
 HTTP_STATUS = {'served': 200, 'refused': 503, 'unknown': 504, 'failed': 422}
+_MAX_INTEGER = 9_223_372_036_854_775_807  # 64 bits, as in SQLite
+_Integer = Annotated[int, msgspec.Meta(ge=-_MAX_INTEGER - 1, le=_MAX_INTEGER)]
+_Parameter = str | bool | _Integer | float | None
 _ERROR_STATUS = {
     'body_too_large': 413,
     'unknown_name': 404,
@@ -56,7 +59,7 @@
     """An SQL statement and its parameters."""
 
     sql: str
-    parameters: list[Any] = []
+    parameters: list[_Parameter] = []
 
 
 class RequestBody(msgspec.Struct, forbid_unknown_fields=True):
--- a/packages/toucandeald/src/toucandeald/targets.py
+++ b/packages/toucandeald/src/toucandeald/targets.py
@@ -29,6 +29,7 @@
     Result,
     TargetRefused,
 )
+from toucandeald.background_tasks import log_failure
 from toucandeald.http_client import HttpConnection, HttpReply, HttpRequestError
 from toucandeald.target_pool import TargetPool
 from toucandeald.target_wire import (
@@ -172,7 +173,7 @@
         target: str,
         term: int,
     ) -> defer.Deferred:
-        ran = self._run(connection, request, term)
+        ran = defer.maybeDeferred(self._run, connection, request, term)
         ran.addErrback(_to_lost, connection)
         return ran.addCallback(
             self._release_or_keep, connection, request, target
@@ -360,6 +361,9 @@
 def _to_lost(failure: Failure, connection: HttpConnection) -> Lost:
     if failure.check(HttpRequestError):
         return Lost(failure.value.reason, sent=failure.value.sent)
-    failure.trap(msgspec.DecodeError)
     connection.close()
-    return Lost('the answer is malformed', sent=True)
+    if failure.check(msgspec.DecodeError):
+        return Lost('the answer is malformed', sent=True)
+    # The slot of the request is free again, whatever the fault.
+    log_failure(failure)
+    return Lost('the proxy failed', sent=True)
