Tell the forwarded requests of a restarted proxy from earlier ones

What callers could see: a proxy forwards a request, is killed and started again at its address, and forwards another one. The reply of the peer to the first has the identity of the second ('p1.1'), so the second caller gets the result of the first one's request: an acknowledgement of a write that has not run.

Cause: the identity was composed of the name and a count that begins anew with each process. It now has the incarnation as well, as the identities of loans do. The identity is opaque to the peer, so builds before understand it.

Found by reading all keys that are composed of several texts; not seen on running processes.

--- a/packages/toucandeald/src/toucandeald/membership_sync.py
+++ b/packages/toucandeald/src/toucandeald/membership_sync.py
@@ -151,14 +151,16 @@
         -------
         Deferred of Reply
         """
-        identity = f'{self._runtime.tables.identity.name}.{next(self._numbers)}'
+        own = self._runtime.tables.identity
+        # A reply to the process before this one must not match.
+        identity = f'{own.name}.{own.incarnation}.{next(self._numbers)}'
         answer: defer.Deferred[Reply] = defer.Deferred()
         self._pending_forwards[identity] = address, answer
         sent = self.sockets.send(
             address,
             Forward(
                 identity,
-                self._runtime.tables.identity.peer_address,
+                own.peer_address,
                 path,
                 token,
                 body,
