Encode keys in paths of the platform, and check change ids

What operators saw: a change id is put into the path of a request to the platform as it is. With a line break inside, the rest runs as another request of the proxy (seen: POST /fault, which set slow_ms to 200). With '?x', '#x' or '/' behind it, the platform looks up the id before these: the change is reported as accepted at the version of another change, and is never written. With a space or another alphabet the command fails as 'store_unavailable' or 'internal'.

Cause: text of the operator in a line without its grammar. The client now percent-encodes tables and keys, and a change id has up to 100 letters, digits, '.', '_' and '-'; others get bad_body. The stand-in of the platform reads a path as a server does: it takes off the query and decodes the parts. Paths of names that can be declared are the same bytes as before.

--- a/packages/toucandeal-standins/src/toucandeal_standins/platform_service.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/platform_service.py
@@ -11,6 +11,7 @@
 """
 
 from typing import Any
+from urllib.parse import unquote
 
 import click
 import msgspec
@@ -88,7 +89,9 @@
         delay = defer.Deferred()
         reactor.callLater(server.faults.slow_ms / 1000, delay.callback, None)
         yield delay
-    answer = _route(server, method, path.strip('/').split('/'), body)
+    target, _, _ = path.partition('?')
+    parts = [unquote(part) for part in target.strip('/').split('/')]
+    answer = _route(server, method, parts, body)
     if method != 'GET' and server.faults.down_after_writes > 0:
         server.faults.down_after_writes -= 1
         server.faults.down = server.faults.down_after_writes == 0
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_operators.py
@@ -98,6 +98,34 @@
     assert _freshness(shared.proxies[0]) == 9
 
 
+@pytest.mark.parametrize(
+    'change_id',
+    [
+        'repeat?x',
+        'repeat#x',
+        'repeat/',
+        '../row',
+        'repeat x',
+        'repeat\n',
+        'répète',
+        'x' * 101,
+        'x HTTP/1.1\r\nContent-Length: 0\r\n\r\n'
+        'POST /fault HTTP/1.1\r\nContent-Length: 16\r\n\r\n'
+        '{"slow_ms": 200}',
+    ],
+)
+def test_a_change_id_that_is_no_name_is_rejected(shared, change_id):
+    # Guards against an id that becomes another row's key, or another request
+    # to the platform.
+    command = 'set class glance freshness 6s'
+    answer = shared.proxies[0].command(command, change_id)
+    faults = post(shared.platform_address, '/fault', {})[2]
+    shared.platform_fault(slow_ms=0)
+    assert faults['slow_ms'] == 0
+    assert answer['error']['kind'] == 'bad_body'
+    assert 'change_id' in answer['error']['problem']
+
+
 def test_concurrent_changes_get_one_acceptance_and_one_conflict(shared):
     shared.platform_fault(slow_ms=100)
     pending = [
--- a/packages/toucandeald/src/toucandeald/operator_service.py
+++ b/packages/toucandeald/src/toucandeald/operator_service.py
@@ -2,7 +2,7 @@
 
 import secrets
 from http import HTTPStatus
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from twisted.internet import defer
@@ -20,12 +20,14 @@
 
 __all__ = ['OperatorService']
 
+_CHANGE_ID = r'\A([A-Za-z0-9][A-Za-z0-9._-]{0,99})?\Z'
+
 
 class CommandBody(msgspec.Struct, forbid_unknown_fields=True):
     """The body of a request to ``/v1/commands``."""
 
     command: str
-    change_id: str = ''
+    change_id: Annotated[str, msgspec.Meta(pattern=_CHANGE_ID)] = ''
 
 
 class OperatorService:
--- a/packages/toucandeald/src/toucandeald/platform_client.py
+++ b/packages/toucandeald/src/toucandeald/platform_client.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import quote
 
 import msgspec
 from twisted.internet import defer
@@ -83,7 +84,9 @@
     @defer.inlineCallbacks
     def row(self, table: str, key: str):
         """Return a row, or None if it does not exist."""
-        reply = yield self._request('GET', f'/tables/{table}/{key}')
+        reply = yield self._request(
+            'GET', f'/tables/{quote(table)}/{quote(key)}'
+        )
         if reply.status == HTTPStatus.NOT_FOUND:
             return None
         return _decode(reply.body, StoredRow)
@@ -91,7 +94,7 @@
     @defer.inlineCallbacks
     def rows(self, table: str):
         """Return all rows of a table as a dict by key."""
-        reply = yield self._request('GET', f'/tables/{table}')
+        reply = yield self._request('GET', f'/tables/{quote(table)}')
         return _decode(reply.body, dict[str, StoredRow])
 
     @defer.inlineCallbacks
--- a/packages/toucandeald/src/toucandeald/tests/test_configuration_sync.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_configuration_sync.py
@@ -1,6 +1,10 @@
 """Configuration of declared groups: lost races and unreadable replies."""
 
+from urllib.parse import unquote
+
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
@@ -61,11 +65,13 @@
     usable = True
 
     def __init__(self, body):
+        self.paths = []
         self._body = body
 
-    def request(self, *arguments):
-        """Return the reply."""
-        del arguments
+    def request(self, method, path, *arguments):
+        """Note the path and return the reply."""
+        del method, arguments
+        self.paths.append(path)
         return defer.succeed(HttpReply(200, self._body, {}))
 
 
@@ -104,3 +110,23 @@
     client.vms().addErrback(failures.append)
     assert all(failure.check(StoreUnavailable) for failure in failures)
     assert len(failures) == 2
+
+
+@example('change/c1?x')
+@example('change/c1#x')
+@example('change/c1 HTTP/1.1\r\n\r\nGET /vms')
+@example('change/%31')
+@given(st.text(st.characters(exclude_categories=['Cs'])))
+def test_a_key_is_sent_as_one_path_and_arrives_unchanged(key):
+    # Guards against a change id that becomes another key, so that a change is
+    # reported as accepted that was never written, or another request.
+    connection = Connection(b'{"version": 1, "value": {}}')
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            platform_client, 'connect', lambda *_: defer.succeed(connection)
+        )
+        PlatformClient(Clock(), '127.0.0.1:1').row('t', key)
+    path = connection.paths[0]
+    assert path.isascii() and path.isprintable()
+    assert not any(character in path for character in ' ?#')
+    assert unquote(path) == f'/tables/t/{key}'
