Keep what only earlier lenders need beside loans

The rule that a shape must be one field holds for lenders of earlier builds only, so it stands where a loan is used instead of in the library.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -30,7 +30,6 @@
     'TRANSACTION_LIMIT_BYTES',
     'apply_step',
     'exceeds_state_limit',
-    'is_single_field',
     'setup_steps',
     'shape_name',
 ]
@@ -224,19 +223,6 @@
     return f'{"w" if prepared.writes else "r"}_{digest}'
 
 
-def is_single_field(shape: str) -> bool:
-    """Return whether a shape is one field anywhere in a line.
-
-    Builds before this one name a shape by its text, which only then is right.
-
-    Examples
-    --------
-    >>> is_single_field('q2c'), is_single_field('q2c WRITE q3')
-    (True, False)
-    """
-    return shape.isprintable() and ' ' not in shape and bool(shape)
-
-
 def setup_steps(
     connection_state: ConnectionState,
     values: dict[str, str],
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -10,7 +10,6 @@
     ConnectionState,
     PreparedShape,
     PrepareShape,
-    is_single_field,
 )
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
@@ -121,7 +120,7 @@
         """Send a request and return a Deferred of its `ServerAnswer`."""
         if not self.usable or self.busy:
             return defer.succeed(lost('the connection is closed'))
-        if self._mixes_up(request):
+        if self._lender_mixes_up(request):
             return defer.succeed(
                 withheld('the lender has an earlier build; retry elsewhere')
             )
@@ -170,13 +169,15 @@
         if self._answer is not None:
             self._deliver(lost(reason))
 
-    def _mixes_up(self, request: ServerRequest) -> bool:
-        """Return whether the lender would prepare another shape."""
-        return (
-            isinstance(request, PrepareShape)
-            and not self.takes_any_shape
-            and not is_single_field(request.prepared.shape)
-        )
+    def _lender_mixes_up(self, request: ServerRequest) -> bool:
+        """Return whether the lender would prepare another shape.
+
+        Earlier builds name a shape by its text, which then must be one field.
+        """
+        if self.takes_any_shape or not isinstance(request, PrepareShape):
+            return False
+        shape = request.prepared.shape
+        return ' ' in shape or not shape.isprintable()
 
     def _end(self, *, reusable: bool) -> None:
         self.usable = False
