Let the targets of the other engine record what arrives, and reject the rest

A body that is not a request is rejected and recorded now, and the last statements are listed by /executions. A test sends texts with ends of lines, quotes and other odd characters as SQL, parameters and keys, alone and in a transaction, and compares.

--- a/packages/toucandeal-standins/src/toucandeal_standins/cluster.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/cluster.py
@@ -90,6 +90,10 @@
         """Return the status that the target reports."""
         return post(self.address, '/inspect', method='GET')[2]
 
+    def executions(self) -> dict[str, Any]:
+        """Return the statements that have arrived, and malformed requests."""
+        return post(self.address, '/executions', method='GET')[2]
+
 
 class Proxy(NamedTuple):
     """A running daemon and its addresses."""
--- a/packages/toucandeal-standins/src/toucandeal_standins/target.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/target.py
@@ -10,10 +10,12 @@
 ``POST /fault``     set faults
 ``GET /inspect``    the status, for tests
 ``GET /applied``    when each log entry was applied, for measurements
+``GET /executions`` the statements as they arrived, for tests
 """
 
 import sqlite3
-from typing import Any, NamedTuple
+from collections import deque
+from typing import Any, Literal, NamedTuple
 
 import click
 import msgspec
@@ -31,20 +33,25 @@
 
 
 # Paths not used by proxies; their connections are exempt from the limit.
-_UNCOUNTED_PATHS = frozenset(('/append', '/applied', '/fault', '/inspect'))
+_UNCOUNTED_PATHS = frozenset(
+    ('/append', '/applied', '/executions', '/fault', '/inspect')
+)
+_KEPT_EXECUTIONS = 10_000
 
 
-class ExecuteRequest(msgspec.Struct):
+class ExecuteRequest(msgspec.Struct, forbid_unknown_fields=True):
     """The request body of ``/execute``."""
 
     request_id: str
     statements: list[Statement] = []
     term: int = 0
-    transaction: str = 'none'
+    transaction: Literal['none', 'begin', 'continue', 'commit', 'rollback'] = (
+        'none'
+    )
     read_only: bool = False
 
 
-class TermRequest(msgspec.Struct):
+class TermRequest(msgspec.Struct, forbid_unknown_fields=True):
     """The request body of ``/fence`` and ``/promote``."""
 
     term: int
@@ -80,7 +87,11 @@
 
 
 class TargetServer:
-    """The state of one server of a group."""
+    """The state of one server of a group.
+
+    `executions` has the request ID, text and parameters of the last statements
+    that arrived, and `malformed` the bodies that are no request.
+    """
 
     def __init__(self, settings: Settings, peers: list[str]) -> None:
         """Start as an empty replica."""
@@ -92,6 +103,8 @@
         self.upstream_contact_at = float('-inf')
         self.slots = defer.DeferredSemaphore(settings.slots)
         self.write_lock = defer.DeferredLock()
+        self.executions: deque[tuple] = deque(maxlen=_KEPT_EXECUTIONS)
+        self.malformed: list[str] = []
         self.connections: set[Connection] = set()
         self.open_transactions: dict[Connection, OpenTransaction] = {}
         self.unswapped: list[defer.Deferred] = []
@@ -156,7 +169,14 @@
 
 @defer.inlineCallbacks
 def _execute(server: TargetServer, connection: Connection, body: bytes):
-    request = msgspec.json.decode(body, type=ExecuteRequest)
+    try:
+        request = msgspec.json.decode(body, type=ExecuteRequest)
+    except msgspec.MsgspecError:
+        server.malformed.append(repr(body))
+        raise
+    server.executions.extend(
+        (request.request_id, *statement) for statement in request.statements
+    )
     slot_acquired = server.slots.acquire()
     yield slot_acquired
     try:
@@ -310,7 +330,16 @@
     return server.database.applied_at
 
 
+def _executions(server: TargetServer, connection, body: bytes) -> dict:
+    del connection, body
+    return {
+        'executions': list(server.executions),
+        'malformed': server.malformed,
+    }
+
+
 _HANDLERS = {
+    ('GET', '/executions'): _executions,
     ('GET', '/applied'): _applied,
     ('POST', '/fence'): _fence,
     ('POST', '/promote'): _promote,
--- a/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/tests/test_contract_callers.py
@@ -1,6 +1,7 @@
 """Tests of the callers' interface: errors, transactions and request keys."""
 
 import base64
+import itertools
 import signal
 
 import msgspec
@@ -21,6 +22,18 @@
 OTHER_CALLERS_TOKEN = encode_token(Session('colourists'), TOKEN_KEYS.encode())
 FORGED_TOKEN = encode_token(Session('archivists'), b'a key of somebody else')
 SHORT_TOKEN = base64.urlsafe_b64encode(b'short').decode()
+# With ends of lines, and characters that some programs take for one.
+ODD_TEXTS = (
+    ' a ',
+    'a  b',
+    'a\r\nb',
+    'a\tb\x0b\x85\u2028',
+    '{"sql": "x"}\\',
+    '%20%s ?',
+    'é漢😀\ufeff',
+    '\r\n\r\nPOST /fence HTTP/1.1\r\n\r\n',
+)
+NUMBERS = itertools.count(2**53 + 1)
 STATEMENTS = '/v1/statements'
 TRANSACTIONS = '/v1/transactions'
 
@@ -123,6 +136,48 @@
         assert reply.first_value == text
 
 
+def _arrived(cluster, sql):
+    """Return the parameters of each statement that arrived with a text."""
+    arrived = []
+    for server in itertools.chain(*cluster.groups.values()):
+        executions = server.executions()
+        assert not executions['malformed']
+        arrived += [
+            parameters
+            for _, text, parameters in executions['executions']
+            if text == sql
+        ]
+    return arrived
+
+
+@pytest.mark.parametrize('odd', ODD_TEXTS)
+@pytest.mark.parametrize('in_transaction', [False, True])
+def test_statements_and_parameters_arrive_as_they_were_sent(
+    shared, odd, in_transaction
+):
+    # Guards against text of a caller that becomes another one on its way.
+    session = SyncSession(shared, 'conservators')
+    number = next(NUMBERS)
+    sql = f"SELECT ?, ?, '{odd}' /* {number} {odd} */ "
+    parameters = [odd, number]
+    body = {**WRITE, 'key': f'odd {number} {odd}'}
+    statements = [{'sql': sql, 'parameters': parameters}]
+    path = STATEMENTS
+    if in_transaction:
+        begun = session.post(0, TRANSACTIONS, body)
+        path = f'{TRANSACTIONS}/{begun.body["transaction"]}'
+        body = {'caller': 'conservators'}
+    reply = session.post(
+        0,
+        f'{path}/statements' if in_transaction else path,
+        {**body, 'statements': statements},
+    )
+    assert reply.body['results'][0]['rows'] == [[odd, number, odd]]
+    if in_transaction:
+        assert session.post(0, f'{path}/commit', body).outcome == 'served'
+    assert _arrived(shared, sql) == [parameters]
+
+
 def test_failed_statement_rolls_back_its_request(shared):
     session = SyncSession(shared, 'conservators')
     statements = [
