Send names in headers as they are, and refuse names that can't be sent

What callers saw: with a nodeName in another alphabet no promotion is ever sent (UnicodeEncodeError where the request is encoded), so a group whose primary dies has none for good. With a line break in it, an order carries a second fencing token before its own.

Cause: the HTTP client joined paths and header lines that its callers had put together. It now takes headers by name, checks each text and the path before anything is sent, and sends headers in UTF-8.

The existing test that passed '' for no headers passes {} now; its assertions are the same.

--- a/packages/toucandeal-standins/src/toucandeal_standins/callers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/callers.py
@@ -76,9 +76,9 @@
     def post(self, address: str, path: str, body: Any, token: str = ''):
         """Send one request to one proxy and return its HTTP reply."""
         connection = yield self._connection(address)
-        header = f'Toucandeal-Session: {token}\r\n' if token else ''
+        headers = {'Toucandeal-Session': token} if token else {}
         reply = yield connection.request(
-            'POST', path, msgspec.json.encode(body), TIMEOUT_S, header
+            'POST', path, msgspec.json.encode(body), TIMEOUT_S, headers
         )
         if connection.usable:
             self._idle[address].append(connection)
--- a/packages/toucandeald/src/toucandeald/http_client.py
+++ b/packages/toucandeald/src/toucandeald/http_client.py
@@ -10,7 +10,8 @@
 
 import math
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 import httptools
@@ -29,6 +30,7 @@
 MAX_PORT = 65535
 MAX_REPLY_BYTES = 67_108_864
 _MS_PER_S = 1000
+_NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 
 class HttpReply(NamedTuple):
@@ -109,7 +111,7 @@
         path: str,
         body: bytes,
         timeout_s: float,
-        headers: str = '',
+        headers: Mapping[str, str] = _NO_HEADERS,
         progress_timeout_s: float = 0,
         deadline: float = math.inf,
     ) -> defer.Deferred:
@@ -117,12 +119,14 @@
 
         Parameters
         ----------
-        method, path : str
+        method : str
+        path : str
+            Percent-encoded.
         body : bytes
         timeout_s : float
             The connection is closed if the reply is not complete by then.
-        headers : str
-            Additional header lines, each terminated by CRLF.
+        headers : mapping of str to str
+            Additional headers by name.
         progress_timeout_s : float
             Each part of the reply that arrives extends the time limit to at
             least this much from then, in seconds.
@@ -139,6 +143,10 @@
             return defer.fail(
                 HttpRequestError('the connection is closed', sent=False)
             )
+        try:
+            head = _encode_head(method, path, headers, len(body))
+        except ValueError as error:
+            return defer.fail(HttpRequestError(str(error), sent=False))
         self._parser = httptools.HttpResponseParser(self)
         self._chunks = []
         self._headers = {}
@@ -147,11 +155,6 @@
         self._size = 0
         self._progress_timeout_s = progress_timeout_s
         self._deadline = deadline
-        head = (
-            f'{method} {path} HTTP/1.1\r\nHost: t\r\n'
-            f'{headers}Content-Length: {len(body)}\r\n\r\n'
-        )
-        encoded = head.encode('ascii') + body
         # The process may have been paused until here.
         remaining_s = deadline - steady_seconds()
         if remaining_s <= 0:
@@ -167,7 +170,7 @@
         )
         if deadline < math.inf:
             self._limit_delivery(remaining_s)
-        self.transport.write(encoded)
+        self.transport.write(head + body)
         if deadline < math.inf:
             # Not in the next iteration of the event loop, which may be late.
             self.transport.doWrite()
@@ -266,6 +269,30 @@
             pending_reply.errback(HttpRequestError(reason, sent=True))
 
 
+def _encode_head(
+    method: str, path: str, headers: Mapping[str, str], body_bytes: int
+) -> bytes:
+    """Encode the lines before the body.
+
+    Raises
+    ------
+    ValueError
+        A text would become other fields or lines.
+    """
+    if ' ' in path or not (path.isascii() and path.isprintable()):
+        raise ValueError(f'{path!r} is not a percent-encoded path')
+    for name, text in headers.items():
+        if not text.isprintable() or text != text.strip():
+            raise ValueError(f'{text!r} cannot be the header {name}')
+    lines = (
+        f'{method} {path} HTTP/1.1',
+        'Host: t',
+        *(f'{name}: {text}' for name, text in headers.items()),
+        f'Content-Length: {body_bytes}\r\n\r\n',
+    )
+    return '\r\n'.join(lines).encode()
+
+
 def connect(reactor, address: str, timeout_s: float) -> defer.Deferred:
     """Open a connection.
 
--- a/packages/toucandeald/src/toucandeald/tests/test_http_client.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_http_client.py
@@ -115,7 +115,7 @@
     connection.makeConnection(transport)
     outcomes = []
     reply = connection.request(
-        'POST', '/', b'', TIMEOUT_S, '', TIMEOUT_S, deadline
+        'POST', '/', b'', TIMEOUT_S, {}, TIMEOUT_S, deadline
     )
     reply.addBoth(outcomes.append)
     return connection, transport, outcomes
@@ -153,3 +153,27 @@
         _receive(clock, connection, 1)
         clock.advance(0.21)
     assert outcomes[0].value.reason == 'the answer is overdue'
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers'),
+    [
+        ('/a b', {}),
+        ('/a\r\nX: y', {}),
+        ('/é', {}),
+        ('/', {'X': 'a\r\nY: b'}),
+        ('/', {'X': ' a'}),
+    ],
+)
+def test_a_text_that_would_become_another_line_is_not_sent(
+    clock, path, headers
+):
+    # Guards against a name that adds a header or a request.
+    connection, outcomes = _requested(clock, TIMEOUT_S)
+    connection.dataReceived(HEAD + b'x' * 20)
+    connection.transport.clear()
+    reply = connection.request('GET', path, b'', TIMEOUT_S, headers)
+    reply.addErrback(outcomes.append)
+    assert not outcomes[-1].value.sent
+    assert not connection.transport.value()
+    assert connection.usable and not connection.busy
