Cut long texts of callers in log lines

What operators saw: the identity of a request, up to a megabyte, is in several log lines of it. Two statements with such identities filled the buffer of the log, and the 20 lines of others behind them were dropped.

A line of more than 16 KB is now encoded with its texts cut at 1024 characters.

Looked at as well, without a fault: line breaks, quotes and control characters in a text stay in their line and field (any text, by hypothesis); what the encoder refuses (a lone surrogate, an integer above 64 bits, a key that is no text) is logged by eliot as a destination failure with the message in it, and the caller of log_event gets no exception.

--- a/packages/toucandeald/src/toucandeald/logs.py
+++ b/packages/toucandeald/src/toucandeald/logs.py
@@ -2,8 +2,9 @@
 
 import functools
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import Any
 
 import eliot
 import orjson
@@ -13,10 +14,19 @@
 from toucandeal.actions import Decision
 from toucandeald.http_client import host_port
 
-__all__ = ['Metrics', 'log_decision', 'log_event', 'open_log', 'send_log_to']
+__all__ = [
+    'Metrics',
+    'encode_line',
+    'log_decision',
+    'log_event',
+    'open_log',
+    'send_log_to',
+]
 
 FLUSH_S = 0.1
 BUFFER_BYTES = 65536
+MAX_LINE_BYTES = 16384
+MAX_TEXT_CHARS = 1024  # of a text in a longer line
 
 
 class _TimedFlushStream:
@@ -50,9 +60,31 @@
 
 def send_log_to(write_line: Callable[[str], None]) -> None:
     """Pass each log line, encoded as JSON, to `write_line`."""
-    eliot.add_destinations(
-        lambda message: write_line(orjson.dumps(message, default=str).decode())
-    )
+    eliot.add_destinations(lambda message: write_line(encode_line(message)))
+
+
+def encode_line(message: Mapping[str, Any]) -> str:
+    """Encode a message as a line of JSON.
+
+    Callers may send texts of up to a megabyte. In a line that is too long,
+    long texts are cut.
+
+    Examples
+    --------
+    >>> len(encode_line({'id': 'x' * 1_000_000}))
+    1036
+    """
+    encoded = orjson.dumps(message, default=str)
+    if len(encoded) > MAX_LINE_BYTES:
+        shortened = {name: _shorten(field) for name, field in message.items()}
+        encoded = orjson.dumps(shortened, default=str)
+    return encoded.decode()
+
+
+def _shorten(field: Any) -> Any:
+    if isinstance(field, str) and len(field) > MAX_TEXT_CHARS:
+        return f'{field[:MAX_TEXT_CHARS]}...'
+    return field
 
 
 @functools.cache
