Let a loan that precedes its borrower's first heartbeat go on

What callers saw: at a proxy that has just started, a statement that gets no answer for half a second, and then RETRY ("no connection to the server was free in time", 563 ms; objective 200 ms).

Cause: the lender ended each loan whose borrower it had not heard, or had heard last under an earlier incarnation, at its next tick, and the borrower, whose requests it ignored from then on, learnt of it only by the time-out.

1.509 p3 route to r1, lender p2 1.518 p2 loan ended, borrower p3 1.533 p2 peer p3 (its first heartbeat) 2.072 p3 refused, 563 ms

A borrower's last message about its loan counts as a sign of life now, as of that process. Silence ends a loan after 1.5 s as before.

Cost: a loan of a borrower that was never heard may last 1.5 s longer.

--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -33,12 +33,16 @@
 
 
 class Loan(NamedTuple):
-    """A lent connection, and since when it has been idle."""
+    """A lent connection, and since when it has been idle.
+
+    `heard_at` is the time of the borrower's last message about it.
+    """
 
     server: Server
     connection: object
     address: str
     idle_since: float
+    heard_at: float
 
 
 class Lending:
@@ -92,16 +96,27 @@
             return
         idle_s = configuration.idle_transaction_s + IDLE_MARGIN_S
         for key, loan in list(self._loans.items()):
-            peer = self._tables.peers.get(key[0])
-            silent = peer is None or now - peer.heard_at >= BORROWER_SILENT_S
-            restarted = peer is not None and peer.incarnation != key[1]
-            if silent or restarted or now - loan.idle_since >= idle_s:
+            idle = now - loan.idle_since >= idle_s
+            if idle or self._has_left(key, loan, now):
                 log_event(
                     'loan ended', borrower=key[0], server=loan.server.name
                 )
                 self._end_loan(key, reusable=False)
 
+    def _has_left(self, key: LoanKey, loan: Loan, now: float) -> bool:
+        """Return whether a borrower is silent, or was restarted.
+
+        Its loans may precede its first heartbeat, and the first one after a
+        restart.
+        """
+        peer = self._tables.peers.get(key[0])
+        if peer is None or peer.heard_at < loan.heard_at:
+            return now - loan.heard_at >= BORROWER_SILENT_S
+        silent = now - peer.heard_at >= BORROWER_SILENT_S
+        return silent or peer.incarnation != key[1]
+
     async def _lend(self, key: LoanKey, loan_request: LoanRequest) -> None:
+        requested_at = steady_seconds()
         server = self._tables.servers.get(loan_request.server)
         connection = None
         lends = self.accepts_work and server is not None
@@ -123,8 +138,9 @@
                 ),
             )
             return
+        now = steady_seconds()
         self._loans[key] = Loan(
-            server, connection, loan_request.address, steady_seconds()
+            server, connection, loan_request.address, now, requested_at
         )
         shapes = [tuple(shape) for shape in connection.connection_state.shapes]
         self._gossip.send(
@@ -146,9 +162,9 @@
         if loan is None:
             return
         # A loan with an outstanding request is not idle.
-        self._loans[key] = loan._replace(
-            idle_since=steady_seconds() + forwarded.timeout_s
-        )
+        now = steady_seconds()
+        loan = loan._replace(idle_since=now + forwarded.timeout_s, heard_at=now)
+        self._loans[key] = loan
         request = decode_request(forwarded.kind, forwarded.request)
         if self.accepts_work or isinstance(request, RollBack):
             answer = await self._pools.call(
