Escape control characters of names on the command line

What operators saw: the names of VMs and failure domains come from the platform and from settings of other proxies. The command line printed them as they are, so a name could clear the screen, color it, or show a row that is not there; and a name like 1e5 was shown as the number 100000.

--- a/packages/toucandeal-cli/src/toucandeal_cli/main.py
+++ b/packages/toucandeal-cli/src/toucandeal_cli/main.py
@@ -9,7 +9,7 @@
 import msgspec
 import tabulate
 
-__all__ = ['main', 'send_command']
+__all__ = ['format_rows', 'main', 'printable', 'send_command']
 
 TIMEOUT_S = 20.0
 FAILED_EXIT_CODE = 1
@@ -52,23 +52,69 @@
     sys.exit(UNREACHABLE_EXIT_CODE)
 
 
+def printable(text: str) -> str:
+    r"""Return a text with its control characters escaped.
+
+    Names come from the platform and from other proxies.
+
+    Examples
+    --------
+    >>> print(printable('a\x1b[2J'))
+    a\x1b[2J
+    """
+    return ''.join(
+        character
+        if character.isprintable()
+        else character.encode('unicode_escape').decode()
+        for character in text
+    )
+
+
+def format_rows(rows: list[dict[str, Any]]) -> str:
+    """Return the rows as a table, with names as they are.
+
+    Examples
+    --------
+    >>> print(format_rows([{'proxy': '1e5', 'silent': 0.5}]))
+    proxy      silent
+    -------  --------
+    1e5           0.5
+    """
+    cells = [
+        [
+            printable(cell) if isinstance(cell, str) else cell
+            for cell in row.values()
+        ]
+        for row in rows
+    ]
+    # Without this, a name that looks like a number is shown as that number.
+    text_columns = [
+        column
+        for column, fields in enumerate(zip(*cells, strict=True))
+        if any(isinstance(field, str) for field in fields)
+    ]
+    return tabulate.tabulate(
+        cells, headers=list(rows[0]), disable_numparse=text_columns
+    )
+
+
 def _print_answer(answer: dict[str, Any]) -> None:
     if 'rows' in answer:
         rows = answer['rows']
-        click.echo(
-            tabulate.tabulate(rows, headers='keys') if rows else 'no rows'
-        )
+        click.echo(format_rows(rows) if rows else 'no rows')
     elif 'help' in answer:
         click.echo(answer['help'])
     elif 'version' in answer:
         click.echo(
-            f'accepted: {answer["accepted"]} at version {answer["version"]}, '
-            f'in force on {answer["in_force"]} of {answer["proxies"]} live '
-            'proxies'
+            f'accepted: {printable(answer["accepted"])} '
+            f'at version {answer["version"]}, in force on '
+            f'{answer["in_force"]} of {answer["proxies"]} live proxies'
         )
     else:
         click.echo(
-            '; '.join(f'{name}: {text}' for name, text in answer.items())
+            '; '.join(
+                f'{name}: {printable(text)}' for name, text in answer.items()
+            )
         )
 
 
@@ -103,7 +149,8 @@
     if as_json:
         click.echo(msgspec.json.encode(answer).decode())
     elif error:
-        click.echo(f'{error["problem"]}. {error["remedy"]}.', err=True)
+        text = f'{error["problem"]}. {error["remedy"]}.'
+        click.echo(printable(text), err=True)
     else:
         _print_answer(answer)
     sys.exit(FAILED_EXIT_CODE if error else 0)
