Find groups and targets named true or false in filters

What operators saw: 'show groups where group = true' found no group of that name, and the same command is what the switch command tells them to use next.

The language reads the two words as truth values. Compared with a text, they are now the words.

--- a/packages/toucandeal/src/toucandeal/operator_queries.py
+++ b/packages/toucandeal/src/toucandeal/operator_queries.py
@@ -52,8 +52,11 @@
     value = row[condition.field]
     if value is None:
         return condition.comparison == '!='
+    wanted = condition.value
+    if isinstance(value, str) and isinstance(wanted, bool):
+        wanted = str(wanted).lower()  # a name that is one of these words
     try:
-        return _COMPARISONS[condition.comparison](value, condition.value)
+        return _COMPARISONS[condition.comparison](value, wanted)
     except TypeError:
         raise BadCommand(
             f'{condition.field!r} cannot be compared with {condition.value!r}',
