Count replies of a workspace named like the sum of the others

A workspace named 'other' lost its replies in the metrics: the sum of the workspaces that are not listed took its place. It is now part of the sum.

Labels from callers' texts are verbs and outcomes, which are fixed sets; names of statsd metrics are fixed.

--- a/packages/toucandeald/src/toucandeald/workspace_metrics.py
+++ b/packages/toucandeald/src/toucandeald/workspace_metrics.py
@@ -42,6 +42,7 @@
     for name in ranked[limit:]:
         others.update(counts[name])
     if others:
+        others.update(listed.get(OTHER, {}))  # a workspace of this name
         listed[OTHER] = dict(others)
     return listed
 
