Test that no two requests share a key or a fingerprint

Keys of requests are two columns of a primary key and fingerprints digest lists of texts, so nothing is joined: pairs of a caller and a key with separators, NUL, numbers as texts and two forms of an accent stay different at SQLite, and so do statements with their parameters. No fault was found; both tests passed at once.

--- a/packages/toucandeal/src/toucandeal/tests/test_request_keys.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_request_keys.py
@@ -8,7 +8,14 @@
 from hypothesis import strategies as st
 
 from toucandeal.errors import BadBody
-from toucandeal.request_keys import check_statement
+from toucandeal.request_keys import (
+    SCHEMA,
+    Statement,
+    check_statement,
+    fingerprint,
+    is_repeated_key,
+    keyed_statements,
+)
 
 MAX_BODY_BYTES = 1_048_576
 CHECK_LIMIT_S = 1.0
@@ -51,3 +58,47 @@
     began_at = time.monotonic()
     check_statement(part * (MAX_BODY_BYTES // len(part)))
     assert time.monotonic() - began_at < CHECK_LIMIT_S
+
+
+def _run_keyed(connection, caller, key):
+    """Run a keyed write; return whether its key was there already."""
+    statements = keyed_statements(caller, key, '', 0, [Statement('SELECT 1')])
+    try:
+        for statement in statements:
+            connection.execute(*statement)
+    except sqlite3.IntegrityError as error:
+        return is_repeated_key(str(error))
+    return False
+
+
+TEXTS = st.one_of(
+    st.text('a/:.\0 1', max_size=3),
+    st.sampled_from(['1', '1.0', '01', 'é', 'e\u0301', 'A', "'", '%']),
+)
+
+
+@given(st.lists(st.tuples(TEXTS, TEXTS), max_size=8))
+def test_only_the_same_caller_and_key_are_a_repeated_request(pairs):
+    # Guards against two requests that share a record, so that one of them gets
+    # the results of the other and does not run.
+    connection = sqlite3.connect(':memory:', isolation_level=None)
+    for statement in SCHEMA:
+        connection.execute(*statement)
+    seen = set()
+    for pair in pairs:
+        assert _run_keyed(connection, *pair) == (pair in seen)
+        seen.add(pair)
+    connection.close()
+
+
+@given(
+    *(st.lists(st.tuples(TEXTS, st.lists(TEXTS, max_size=3)), max_size=3),) * 2
+)
+def test_different_statements_have_different_fingerprints(first, second):
+    # Guards against texts that are joined before they are digested.
+    bodies = [
+        tuple(Statement(sql, tuple(row)) for sql, row in body)
+        for body in (first, second)
+    ]
+    same = bodies[0] == bodies[1]
+    assert (fingerprint(bodies[0]) == fingerprint(bodies[1])) == same
