Order a leader that is found again if a silent server may lead

Two promotions in turn made b and then c lead, neither was recorded, and c gives no answer. The proxy that resumed recorded b, which still calls itself primary of a term after the recorded one.

Cause: the record did not tell how many orders there may have been since the recorded primary led, so no silent server could be excluded.

Change: the record of a promotion counts its attempts, each of which orders one server at most. After a single one, the server that is found leading is the one that was ordered: it is recorded at once as before, also while the old primary is silent. Otherwise all servers of the group have to report, or the found one is ordered to lead again, by later attempts as the old primary is since: it is recorded once it leads a later term or, as an order for the present primary changes nothing, in the same one 3 s later. Before that order the silent servers are asked again for 0.6 s, or 1.5 s if one of them is known to have received more. The count is unknown (0) after an earlier build, a restored store, or a replacement that is not recorded.

No acknowledged write is lost that was not before: writes are acknowledged only at a recorded primary, and neither b nor c was recorded since the one of the record. With syncReplicas 1 its last commits are at b or c, and b was chosen from the reports by what they had received. They are lost only if c has them and gives no report during the first choice nor now, as in each promotion without a report of the servers that have them. With syncReplicas 0 none is promised beyond those of the chosen server.

--- a/packages/toucandeal/src/toucandeal/fleet.py
+++ b/packages/toucandeal/src/toucandeal/fleet.py
@@ -126,6 +126,9 @@
         there may finish.
     holder : str
         The proxy that carries out the promotion.
+    attempts : int
+        How often the promotion has been begun since the recorded primary led,
+        each time with an order for one server at most; 0 if that is unknown.
     version : StoreVersion
         Of the row; increases with each change.
     """
@@ -137,6 +140,7 @@
     planned: bool = False
     holder: str = ''
     version: StoreVersion = NO_VERSION
+    attempts: int = 0
 
 
 class ProxyRecord(NamedTuple):
--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -19,9 +19,11 @@
 __all__ = [
     'LOCK_DURATION_S',
     'RESUME_MARGIN_S',
+    'Leader',
     'ServerReport',
     'Trigger',
     'best_replica',
+    'is_only_leader',
     'is_unverified',
     'leads_since',
     'lock_ends_at',
@@ -60,6 +62,17 @@
     received: LogPosition
 
 
+class Leader(NamedTuple):
+    """The primary of the highest reported term of a group, and that term.
+
+    `silent` are the servers of the group that gave no report.
+    """
+
+    name: str
+    term: int
+    silent: frozenset[str] = frozenset()
+
+
 class Trigger(NamedTuple):
     """The reason to begin or resume a promotion."""
 
@@ -225,6 +238,33 @@
     return record.changing and not record.holder
 
 
+def is_only_leader(record: GroupRecord, leader: Leader) -> bool:
+    """Return whether no silent server can lead a later term than a leader.
+
+    An attempt of a promotion orders one server at most. So a single attempt has
+    made no other server lead than the one that is found leading.
+
+    Parameters
+    ----------
+    record : GroupRecord
+        As it was found, before the present attempt.
+    leader : Leader
+
+    Examples
+    --------
+    >>> leader = Leader('b', 4, frozenset('c'))
+    >>> begun = GroupRecord('g', 'a', 3, changing=True, holder='p1', attempts=1)
+    >>> is_only_leader(begun, leader)
+    True
+    >>> is_only_leader(begun._replace(attempts=2), leader)
+    False
+    >>> is_only_leader(begun._replace(attempts=2), Leader('b', 4))
+    True
+    """
+    is_recorded = (leader.name, leader.term) == (record.primary, record.term)
+    return is_recorded or not leader.silent or record.attempts == 1
+
+
 def leads_since(report: ServerReport | None, term: int) -> bool:
     """Return whether a server leads `term` or a later one.
 
--- a/packages/toucandeal/src/toucandeal/store_recovery.py
+++ b/packages/toucandeal/src/toucandeal/store_recovery.py
@@ -122,8 +122,8 @@
     """Return a record whose primary the servers still have to confirm.
 
     The record of an unfinished promotion keeps its holder, because an order
-    may have been sent.
+    may have been sent. Attempts since then may have been lost.
     """
     if record.changing:
-        return record
+        return record._replace(attempts=0)
     return record._replace(changing=True, planned=False, holder='')
--- a/packages/toucandeal/src/toucandeal/tests/test_store_recovery.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_store_recovery.py
@@ -145,6 +145,8 @@
 def test_the_record_of_an_unfinished_promotion_keeps_its_holder():
     begun = RECORD._replace(changing=True, holder='p2')
     assert unverified_record(begun) == begun
+    # Attempts of the lost history may be missing.
+    assert unverified_record(begun._replace(attempts=1)) == begun
     assert unverified_record(RECORD).changing
     assert not unverified_record(RECORD).holder
 
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -23,7 +23,9 @@
 from toucandeal.promotion import (
     LOCK_DURATION_S,
     RESUME_MARGIN_S,
+    Leader,
     Trigger,
+    is_only_leader,
     is_unverified,
     leads_since,
     promotion_delay_s,
@@ -100,6 +102,9 @@
         # By group, the server that leads then if it has not failed; empty if
         # that is unknown.
         self._leads_then: dict[str, str] = {}
+        # By group, a leader that was found, with the term before the order by
+        # which this proxy has made it lead again.
+        self._ordered_leaders: dict[str, Leader] = {}
         # By group, the record that the last promotion found.
         self._found_records: dict[str, GroupRecord] = {}
 
@@ -255,9 +260,19 @@
                 changing=True,
                 planned=trigger.planned,
                 holder=self._tables.name,
+                attempts=self._attempts(record),
             )
         )
 
+    def _attempts(self, found: GroupRecord) -> int:
+        """Return the attempts of a promotion with the one that begins now.
+
+        They are unknown if a server may lead that is not recorded.
+        """
+        if found.changing:
+            return found.attempts + 1 if found.attempts else 0
+        return 0 if self._choice.may_have_been_replaced(found) else 1
+
     def _note_earlier_orders(self, found: GroupRecord) -> None:
         """Note until when an order of an unfinished promotion takes effect.
 
@@ -268,11 +283,13 @@
         if not found.changing or is_unverified(found):
             self._effect_until[name] = -math.inf
             self._leads_then[name] = found.primary
+            self._ordered_leaders.pop(name, None)
         elif (
             found.holder != self._tables.name or name not in self._effect_until
         ):
             self._effect_until[name] = steady_seconds() + EFFECT_TIMEOUT_S
             self._leads_then[name] = ''
+            self._ordered_leaders.pop(name, None)
 
     async def _wait_for_peers(self, held_lock: HeldLock) -> None:
         """Wait until no proxy works with the old primary."""
@@ -324,14 +341,23 @@
     ) -> None:
         record = held_lock.record
         found = self._found_records[name]
-        leader = await self._choice.current_leader(
-            record, resumed=found.changing
-        )
+        leader = await self._choice.current_leader(found)
         if leader is not None and (
-            leader[0] != record.primary or is_unverified(found)
+            leader.name != record.primary or is_unverified(found)
         ):
-            log_event('promotion', group=name, step='found', server=leader[0])
-            await self._complete_promotion(held_lock, leader[0], leader[1])
+            log_event(
+                'promotion',
+                group=name,
+                step='found',
+                server=leader.name,
+                term=leader.term,
+                silent=sorted(leader.silent),
+            )
+            if name in self._ordered_leaders or not is_only_leader(
+                found, leader
+            ):
+                await self._lead_again(held_lock, leader)
+            await self._complete_promotion(held_lock, leader.name, leader.term)
             return
         chosen, term = await self._choice.choose_replica(
             record, planned=trigger.planned
@@ -349,6 +375,7 @@
         """Order the promotion of a server, and return the lock."""
         name = held_lock.record.group
         self._leads_then[name] = ''
+        self._ordered_leaders.pop(name, None)
         try:
             held_lock = await self._orders.send(held_lock, chosen)
         finally:
@@ -356,8 +383,34 @@
         self._leads_then[name] = chosen.name
         return held_lock
 
+    async def _lead_again(self, held_lock: HeldLock, leader: Leader) -> None:
+        """Return once no silent server can lead instead of a leader.
+
+        It is promoted first. If another server leads, it leads a later term
+        then; otherwise the order changes nothing. A later attempt records it.
+
+        Raises
+        ------
+        PromotionAbandoned
+            The order has been sent, or may still take effect.
+        """
+        name = held_lock.record.group
+        ordered = self._ordered_leaders.get(name)
+        if ordered is None or ordered.name != leader.name:
+            server = self._tables.servers.get(leader.name)
+            if server is None:
+                raise PromotionAbandoned(f'{leader.name} is gone')
+            await self._order(held_lock, server)
+            self._ordered_leaders[name] = leader
+            raise PromotionAbandoned(f'{leader.name} is to lead again')
+        if (
+            leader.term <= ordered.term
+            and steady_seconds() < self._effect_until[name]
+        ):
+            raise PromotionAbandoned('an order may still take effect')
+
     async def _restore_primary(
-        self, held_lock: HeldLock, leader: tuple[str, int] | None
+        self, held_lock: HeldLock, leader: Leader | None
     ) -> None:
         """Record the old primary again, as no replica can take over.
 
@@ -376,7 +429,7 @@
         if self._found_records[name].changing and leader is None:
             self._leads_then[name] = ''
             raise PromotionAbandoned('no server reports that it leads')
-        term = record.term if leader is None else leader[1]
+        term = record.term if leader is None else leader.term
         await self._complete_promotion(held_lock, record.primary, term)
 
     async def _wait_for_effect(
--- a/packages/toucandeald/src/toucandeald/promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/promotion_choice.py
@@ -1,8 +1,16 @@
 """Choose the server to promote from the servers' status reports."""
 
+from collections.abc import Mapping
+
 from toucandeal.fleet import GroupRecord, Server
 from toucandeal.fleet_tables import FleetTables, server_load
-from toucandeal.promotion import ServerReport, best_replica, replicas_of
+from toucandeal.promotion import (
+    Leader,
+    ServerReport,
+    best_replica,
+    is_only_leader,
+    replicas_of,
+)
 from toucandeald.logs import log_event
 from toucandeald.primary_watch import PrimaryWatch
 from toucandeald.server_reports import ServerReports
@@ -43,34 +51,44 @@
         self._watch = watch
         self._reports = reports
 
-    async def current_leader(
-        self, record: GroupRecord, *, resumed: bool
-    ) -> tuple[str, int] | None:
-        """Return the primary of the highest reported term, and that term."""
-        if not (resumed or self._may_have_been_replaced(record)):
+    async def current_leader(self, record: GroupRecord) -> Leader | None:
+        """Return the server that leads a group, as far as its servers report.
+
+        If another one may lead that gives no report, it is asked again for as
+        long as for a choice.
+
+        Parameters
+        ----------
+        record : GroupRecord
+            As it was found, before the present attempt of a promotion.
+        """
+        if not (record.changing or self.may_have_been_replaced(record)):
             return None
+        began_at = steady_seconds()
         servers = [
             server
             for server in self._tables.servers.values()
             if server.group == record.group
         ]
-        reports = await self._reports.gather(servers)
-        primary_terms = {
-            name: report.term
-            for name, report in reports.items()
-            if report.is_primary
-        }
-        newest = max((report.term for report in reports.values()), default=0)
-        return next(
-            (
-                (name, term)
-                for name, term in primary_terms.items()
-                if term == newest and _may_lead(record, name, term)
-            ),
-            None,
-        )
+        while True:
+            reports = await self._reports.gather(servers)
+            leader = _newest_primary(record, reports)
+            missing = [each for each in servers if each.name not in reports]
+            if leader is None:
+                return None
+            leader = leader._replace(
+                silent=frozenset(each.name for each in missing)
+            )
+            wait_s = self._wait_s(
+                missing, reports[leader.name], REPORTS_TIMEOUT_S
+            )
+            waited_s = steady_seconds() - began_at
+            if is_only_leader(record, leader) or waited_s >= wait_s:
+                return leader
+            await pause(self._clock, ROUND_INTERVAL_S)
 
-    def _may_have_been_replaced(self, record: GroupRecord) -> bool:
+    def may_have_been_replaced(self, record: GroupRecord) -> bool:
+        """Return whether another server may lead without a new record."""
         claimed = any(
             server.name != record.primary
             for server in servers_claiming_primary(self._tables, record.group)
@@ -179,6 +197,23 @@
             )
 
 
+def _newest_primary(
+    record: GroupRecord, reports: Mapping[str, ServerReport]
+) -> Leader | None:
+    """Return the primary of the highest reported term."""
+    newest = max((report.term for report in reports.values()), default=0)
+    return next(
+        (
+            Leader(name, report.term)
+            for name, report in reports.items()
+            if report.is_primary
+            and report.term == newest
+            and _may_lead(record, name, report.term)
+        ),
+        None,
+    )
+
+
 def _may_lead(record: GroupRecord, name: str, term: int) -> bool:
     """Return whether a server that calls itself primary of `term` may be it.
 
--- a/packages/toucandeald/src/toucandeald/shared_records.py
+++ b/packages/toucandeald/src/toucandeald/shared_records.py
@@ -57,6 +57,7 @@
     changing: bool = False
     planned: bool = False
     holder: str = ''
+    attempts: NaturalNumber = 0  # earlier builds write none
 
 
 class _Proxy(msgspec.Struct):
@@ -110,6 +111,7 @@
             record.changing,
             record.planned,
             record.holder,
+            record.attempts,
         )
     )
 
@@ -174,6 +176,7 @@
                 group.planned,
                 group.holder,
                 row.version,
+                group.attempts,
             )
         )
     elif row.key.startswith(_PROXY_PREFIX):
--- a/packages/toucandeald/src/toucandeald/store_recovery.py
+++ b/packages/toucandeald/src/toucandeald/store_recovery.py
@@ -114,7 +114,10 @@
             if group.record is not None
         }
         if step is RecoveryStep.CONFIRM:
-            return list(remembered.values())
+            # Attempts that no proxy remembers may have been lost.
+            return [
+                record._replace(attempts=0) for record in remembered.values()
+            ]
         restored = {
             record.group: record for record in self._state.unconfirmed.groups
         }
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -259,15 +259,37 @@
     fleet.replace_primary('p0', FIRST)
     fleet.run_until(lambda: service.leaders[FIRST] == found)
     fleet.kill('p0')
-    report = ServerReport(True, service.terms[FIRST], LogPosition(2, 9))
+    fleet.assign('p2', FIRST)
+    fleet.run_until(lambda: fleet.lock_holder() == 'p2')
+    fleet.kill('p2')
+    let_only_the_found_server_answer(fleet, found)
     service.leaders[FIRST] = 'silent'
     service.terms[FIRST] += 1
+    fleet.assign('p1', FIRST)
+    leaders = set()
 
-    async def gather(servers):
-        await pause(fleet.clock, fleet.reports.delay_s)
-        return {each.name: report for each in servers if each.name == found}
+    def note_leader():
+        if fleet.primary(FIRST) == found:
+            leaders.add(service.leaders[FIRST])
 
-    fleet.reports.gather = gather
+    fleet.run(8.0, note_leader)
+    assert leaders == {found}
+    fleet.check()
+
+
+def test_a_superseded_leader_is_not_found_after_the_old_primary_leads(fleet):
+    # Guards against the same where the second promotion was that of the old
+    # primary, which a proxy had ordered since no other server answered.
+    found, old = f'{FIRST}-replica', f'{FIRST}-primary'
+    service = fleet.service
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: service.leaders[FIRST] == found)
+    fleet.kill('p0')
+    fleet.reports.unreachable.add(found)
+    fleet.assign('p2', FIRST)
+    fleet.run_until(lambda: service.leaders[FIRST] == old)
+    fleet.kill('p2')
+    let_only_the_found_server_answer(fleet, found, term=2)
     fleet.assign('p1', FIRST)
     leaders = set()
 
@@ -276,7 +298,48 @@
             leaders.add(service.leaders[FIRST])
 
     fleet.run(8.0, note_leader)
-    assert leaders <= {found}
+    assert leaders == {found}
+    fleet.check()
+
+
+@pytest.mark.parametrize('attempts', [1, 2])
+def test_a_leader_that_is_found_is_recorded_with_its_present_term(
+    fleet, attempts
+):
+    # Guards against a group that stays without a primary because the server
+    # that leads is ordered again and again, which changes nothing.
+    found = f'{FIRST}-replica'
+    fleet.replace_primary('p0', FIRST)
+    fleet.run_until(lambda: fleet.service.leaders[FIRST] == found)
+    fleet.kill('p0')
+    if attempts == 2:
+        fleet.assign('p2', FIRST)
+        fleet.run_until(lambda: fleet.lock_holder() == 'p2')
+        fleet.kill('p2')
+    fleet.reports.unreachable.add(f'{FIRST}-primary')
+    fleet.assign('p1', FIRST)
+    fleet.run(12.0)
+    assert fleet.primary(FIRST) == found
+    holders = [order.holder for order in fleet.service.orders]
+    # After a single attempt there is nothing to make sure of.
+    assert holders == ['p0', 'p1'][:attempts]
+    assert fleet.service.terms[FIRST] == 2
+    fleet.check()
+
+
+def let_only_the_found_server_answer(fleet, found, term=None):
+    """Let a server report the term that it leads or, otherwise, has led."""
+    service = fleet.service
+    led = term or service.terms[FIRST]
+
+    async def gather(servers):
+        await pause(fleet.clock, fleet.reports.delay_s)
+        leads = service.leaders[FIRST] == found
+        reported = service.terms[FIRST] if leads else led
+        report = ServerReport(True, reported, LogPosition(2, 9))
+        return {each.name: report for each in servers if each.name == found}
+
+    fleet.reports.gather = gather
 
 
 def ends(steps, group):
--- a/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promotion_choice.py
@@ -9,7 +9,7 @@
 from toucandeal.fleet import GroupRecord
 from toucandeal.fleet_tables import server_load
 from toucandeal.positions import LogPosition
-from toucandeal.promotion import ServerReport
+from toucandeal.promotion import Leader, ServerReport
 from toucandeal.tests.sample_tables import NOW, new_tables
 from toucandeald.promotion_choice import REPORTS_TIMEOUT_S, PromotionChoice
 from toucandeald.session_messages import lost
@@ -133,7 +133,8 @@
 
 
 @pytest.mark.parametrize(
-    ('term', 'leader'), [(2, None), (3, None), (4, ('b', 4))]
+    ('term', 'leader'),
+    [(2, None), (3, None), (4, Leader('b', 4, frozenset('ac')))],
 )
 def test_a_superseded_primary_is_not_taken_for_the_leader(term, leader):
     # Guards against stale reads and acknowledged writes at a former primary
@@ -145,9 +146,42 @@
     report = ServerReport(True, term, LogPosition(term, 9))
     reports.gather = lambda servers: defer.succeed({'b': report})
     choice = PromotionChoice(clock, new_tables(), Watch(), reports)
-    record = GroupRecord('g', 'a', 3, changing=True)
+    record = GroupRecord('g', 'a', 3, changing=True, attempts=1)
     with virtual_time(clock.seconds):
-        found = defer.ensureDeferred(
-            choice.current_leader(record, resumed=True)
-        ).result
+        found = defer.ensureDeferred(choice.current_leader(record)).result
     assert found == leader
+
+
+@pytest.mark.parametrize(
+    ('answers_after_s', 'leader'), [(0.4, 'c'), (math.inf, 'b')]
+)
+def test_a_busy_server_that_leads_a_later_term_is_found(
+    answers_after_s, leader
+):
+    # Guards against the promotion of a superseded primary because the one that
+    # leads refuses to report its status for a while.
+    clock = new_clock()
+    reports = Reports({})
+
+    def gather(servers):
+        terms = {'b': 4}
+        if clock.seconds() >= NOW + answers_after_s:
+            terms['c'] = 5
+        return defer.succeed(
+            {
+                name: ServerReport(True, term, LogPosition(term, 9))
+                for name, term in terms.items()
+            }
+        )
+
+    reports.gather = gather
+    choice = PromotionChoice(clock, new_tables(), Watch(), reports)
+    record = GroupRecord('g', 'a', 3, changing=True, holder='p1', attempts=2)
+    found = []
+    with virtual_time(clock.seconds):
+        defer.ensureDeferred(choice.current_leader(record)).addBoth(
+            found.append
+        )
+        while not found and clock.seconds() < NOW + 2 * REPORTS_TIMEOUT_S:
+            clock.advance(STEP_S)
+    assert found[0].name == leader
