--- a/packages/toucandeald/src/toucandeald/tests/test_loan_state.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loan_state.py
@@ -491,5 +491,5 @@
 
 TestLoans = Loans.TestCase
 TestLoans.settings = settings(
-    max_examples=200, stateful_step_count=50, deadline=None
+    max_examples=400, stateful_step_count=50, deadline=None
 )
