End a transaction with its COMMIT also if that is not sent

Ending a failed transaction rolls it back.

The transaction is over after each reply to its COMMIT now.

--- a/packages/toucandeald/src/toucandeald/caller_transactions.py
+++ b/packages/toucandeald/src/toucandeald/caller_transactions.py
@@ -54,6 +54,16 @@
         self, call: StatementCall, transaction: OpenTransaction
     ) -> CallerReply:
         """Run a statement inside a transaction and return its reply."""
+        answer = await self._run(call, transaction)
+        if call.statement.verb is not Verb.COMMIT:
+            return answer
+        # Also one that was not sent, as the transaction is rolled back then.
+        call.session.transaction = None
+        return answer._replace(state=call.session.state)
+
+    async def _run(
+        self, call: StatementCall, transaction: OpenTransaction
+    ) -> CallerReply:
         if transaction.connection is None:
             failure = await self._start_transaction(call, transaction)
             if failure is not None:
--- a/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_waiting_statements.py
@@ -111,6 +111,29 @@
         assert 'nothing has run' in replies[0].reason
 
 
+def test_a_commit_that_is_not_sent_ends_its_transaction():
+    # Guards against a caller that has to end its transaction twice.
+    clock = Clock()
+    tables = _tables()
+    pools = Pools()
+    session = CallerSession(1, 'db', key_digest('k'), 'north')
+    session.transaction = OpenTransaction(ROUTE, read_only=False, began_at=0.0)
+    replies = []
+    with virtual_time(clock.seconds):
+        forwarding = Forwarding(clock, tables, pools, None, random.Random(1))
+        defer.ensureDeferred(
+            forwarding.forward(
+                session, 'x', Statement(Verb.COMMIT, 'COMMIT'), 0.0
+            )
+        ).addCallback(replies.append)
+        tables.configuration = _configuration({})
+        pools.waiting[0].callback('connection')
+    assert not pools.sent
+    assert replies[0].kind is ReplyKind.REFUSED
+    assert replies[0].state == 'idle'
+    assert session.transaction is None
+
+
 class Promotion:
     """A statement that arrives while a promotion is under way."""
 
