--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -219,14 +219,8 @@
 
     fleet.reports.gather = gather
     fleet.replace_primary('p0', FIRST)
-    leaders = []
-
-    def note_leader():
-        if fleet.primary(FIRST) == chosen:
-            leaders.append(service.leaders[FIRST])
-
-    fleet.run(3.0, note_leader, step_s=0.01)
-    assert set(leaders) == {chosen}
+    leaders = leaders_while_recorded(fleet, chosen, 3.0, step_s=0.01)
+    assert leaders == {chosen}
     fleet.check()
 
 
@@ -239,14 +233,8 @@
     fleet.kill('p0')
     fleet.reports.unreachable.add(f'{FIRST}-replica')
     fleet.assign('p1', FIRST)
-    leaders = []
-
-    def note_leader():
-        if fleet.primary(FIRST) == f'{FIRST}-primary':
-            leaders.append(fleet.service.leaders[FIRST])
-
-    fleet.run(16.0, note_leader)
-    assert set(leaders) == {f'{FIRST}-primary'}
+    leaders = leaders_while_recorded(fleet, f'{FIRST}-primary', 16.0)
+    assert leaders == {f'{FIRST}-primary'}
     fleet.check()
 
 
@@ -266,13 +254,7 @@
     service.leaders[FIRST] = 'silent'
     service.terms[FIRST] += 1
     fleet.assign('p1', FIRST)
-    leaders = set()
-
-    def note_leader():
-        if fleet.primary(FIRST) == found:
-            leaders.add(service.leaders[FIRST])
-
-    fleet.run(8.0, note_leader)
+    leaders = leaders_while_recorded(fleet, found, 8.0)
     assert leaders == {found}
     fleet.check()
 
@@ -291,13 +273,7 @@
     fleet.kill('p2')
     let_only_the_found_server_answer(fleet, found, term=2)
     fleet.assign('p1', FIRST)
-    leaders = set()
-
-    def note_leader():
-        if fleet.primary(FIRST) == found:
-            leaders.add(service.leaders[FIRST])
-
-    fleet.run(8.0, note_leader)
+    leaders = leaders_while_recorded(fleet, found, 8.0)
     assert leaders == {found}
     fleet.check()
 
@@ -327,6 +303,18 @@
     fleet.check()
 
 
+def leaders_while_recorded(fleet, server, seconds, **options):
+    """Run a fleet; return who led while a server was the recorded primary."""
+    leaders = set()
+
+    def note_leader():
+        if fleet.primary(FIRST) == server:
+            leaders.add(fleet.service.leaders[FIRST])
+
+    fleet.run(seconds, note_leader, **options)
+    return leaders
+
+
 def let_only_the_found_server_answer(fleet, found, term=None):
     """Let a server report the term that it leads or, otherwise, has led."""
     service = fleet.service
