Promote only a replica that has all acknowledged writes

Cause: a write is acknowledged once one replica has received it. A promotion waited 0.6 or 1.5 s for the replicas' reports and took the best of those that answered. Time proves nothing about the log of a server that gives no report.

Ruled out: writes acknowledged without a confirmation, and reports that are read wrongly.

Change: a replica takes over with one of two proofs. Either all registered proxies have told, with WorkStopped, up to where they have acknowledged, and the replica has received that; or each server that may have confirmed a write gives a report. What has ended (servers, proxies, earlier processes) is covered by the position of the primary's first answer to a statement sent afterwards. Without a proof the old primary is recorded again with the missing servers, the lock is free, and these servers are asked until one answers. What needs the primary is refused at once meanwhile.

Why this works: the first proof is exact, as whatever no proxy has acknowledged was promised to nobody; the second holds since each acknowledged write is on one of the servers that have reported. The number of synchronous replicas weakens neither, because it may have been lower when a write was acknowledged.

--- a/packages/toucandeal/src/toucandeal/fleet.py
+++ b/packages/toucandeal/src/toucandeal/fleet.py
@@ -129,6 +129,12 @@
     attempts : int
         How often the promotion has been begun since the recorded primary led,
         each time with an order for one server at most; 0 if that is unknown.
+    servers : mapping of str to int
+        The servers of the group when its primary began to lead, with their
+        starts in Unix milliseconds; empty if an earlier build wrote the record.
+    awaited : tuple of str
+        Servers whose reports the last promotion lacked. The primary stays
+        until one of them answers.
     version : StoreVersion
         Of the row; increases with each change.
     """
@@ -141,6 +147,8 @@
     holder: str = ''
     version: StoreVersion = NO_VERSION
     attempts: int = 0
+    servers: Mapping[str, int] = MappingProxyType({})
+    awaited: tuple[str, ...] = ()
 
 
 class ProxyRecord(NamedTuple):
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -6,12 +6,22 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from toucandeal.acknowledged_writes import (
+    AcknowledgedWrites,
+    begin_lead,
+    note_departure,
+    note_primary_position,
+)
 from toucandeal.backoff import Backoff
 from toucandeal.configuration_freshness import ConfigurationFreshness
 from toucandeal.domain_crossing import NOT_CROSSING, Crossing
 from toucandeal.fleet import FleetConfiguration, GroupRecord, Server
 from toucandeal.positions import NOTHING_SEEN, LogPosition
-from toucandeal.primary_lease import PrimaryLease, may_use_primary
+from toucandeal.primary_lease import (
+    LEASE_DURATION_S,
+    PrimaryLease,
+    may_use_primary,
+)
 from toucandeal.relays import RelayAssignment
 from toucandeal.staleness import History, Sample, add_sample
 
@@ -29,6 +39,7 @@
     'note_leading',
     'note_not_leading',
     'accepts_operations',
+    'awaits_server',
     'is_confirmed',
     'record_position',
     'required_in_current_term',
@@ -126,7 +137,8 @@
     that it does not lead, and `denied_at` the time of the last such answer.
     `lead_known_at` is the time from which this proxy knows that the recorded
     primary leads: what that server answers to a later statement, it answers as
-    the primary. Times are in seconds.
+    the primary. `acknowledged` is what is known of the acknowledged writes.
+    Times are in seconds.
     """
 
     def __init__(self, name: str) -> None:
@@ -141,6 +153,7 @@
         self.not_leading = ''
         self.denied_at = -math.inf
         self.backoff = Backoff()
+        self.acknowledged = AcknowledgedWrites()
         self.crossing = CrossingState()
 
 
@@ -256,6 +269,12 @@
         return False
     if current is None or _invalidates_primary_work(current, update):
         group.epoch += 1
+    if current is None:
+        # Proxies that are not registered now had a lease for this long.
+        note_departure(group.acknowledged, now + LEASE_DURATION_S)
+    elif _succeeds(current, update):
+        begin_lead(group.acknowledged, now)
+        _forget_received(tables, update.group)
     if not update.changing:
         group.primary_work_until = math.inf
         group.lead_known_at = now
@@ -286,6 +305,21 @@
     return (update.primary, update.term) != (current.primary, current.term)
 
 
+def _succeeds(current: GroupRecord, update: GroupRecord) -> bool:
+    """Return whether another server leads than before, in a later term.
+
+    The records of a restored store are older than what proxies remember.
+    """
+    return update.primary != current.primary and update.term > current.term
+
+
+def _forget_received(tables: FleetTables, group: str) -> None:
+    """Forget what servers had received; those that were ahead roll back."""
+    for server in tables.servers.values():
+        if server.group == group:
+            server_load(tables, server.name).received = NOTHING_SEEN
+
+
 def note_not_leading(tables: FleetTables, server: Server, now: float) -> None:
     """Note that a server has answered that it does not lead its group.
 
@@ -338,6 +372,22 @@
     return tables.servers.get(current.primary)
 
 
+def awaits_server(tables: FleetTables, name: str) -> bool:
+    """Return whether a group lacks a primary until a server answers.
+
+    No replica can take over from its primary, which gives no answer, without
+    the report of that server.
+    """
+    record = group_state(tables, name).record
+    if record is None or not record.awaited:
+        return False
+    load = server_load(tables, record.primary)
+    return (
+        record.primary not in tables.servers
+        or load.unreachable_since is not None
+    )
+
+
 def record_position(
     tables: FleetTables,
     server: Server,
@@ -376,6 +426,7 @@
     if position.term > group.term_start.term:
         group.history.clear()
         group.term_start = position
+    note_primary_position(group.acknowledged, position, sent_at)
     is_first = not group.history
     add_sample(group.history, Sample(position, sent_at))
     return PositionUse.FIRST_SAMPLE if is_first else PositionUse.SAMPLE
--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -21,6 +21,7 @@
 from toucandeal.fleet_tables import (
     FleetTables,
     accepts_operations,
+    awaits_server,
     group_state,
     required_in_current_term,
     server_load,
@@ -52,6 +53,7 @@
 OPENING_COST_S = 0.012
 PROMOTION_RETRY_S = 0.6  # usual duration of a promotion
 UNAVAILABLE_RETRY_S = 0.1
+AWAITED_RETRY_S = 1.0  # a server that has crashed is back after seconds
 # Several renewals; a proxy without a lease for longer may be cut off.
 LEASE_GAP_S = 0.6
 
@@ -117,7 +119,16 @@
 def place_write(
     tables: FleetTables, route: Route, now: float
 ) -> Placement | Refusal:
-    """Return the server for a write or a read-write transaction."""
+    """Return the server for a write or a read-write transaction.
+
+    Addresses the failure of a primary and of the only replica that has its
+    last writes: no proxy can serve the group before one of them is back.
+    """
+    if awaits_server(tables, route.group):
+        return Refusal(
+            'the servers with the last acknowledged writes give no answer',
+            AWAITED_RETRY_S,
+        )
     primary = usable_primary(tables, route.group, now)
     group = group_state(tables, route.group)
     if primary is None:
--- a/packages/toucandeal/src/toucandeal/promotion.py
+++ b/packages/toucandeal/src/toucandeal/promotion.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
+from toucandeal.acknowledged_writes import ServerStart, may_be_lacking
 from toucandeal.fleet import GroupRecord, Server
 from toucandeal.fleet_tables import (
     FleetTables,
@@ -22,7 +23,9 @@
     'Leader',
     'ServerReport',
     'Trigger',
+    'await_interval_s',
     'best_replica',
+    'former_primary',
     'is_only_leader',
     'is_unverified',
     'leads_since',
@@ -31,6 +34,8 @@
     'promotion_delay_s',
     'promotion_trigger',
     'replicas_of',
+    'starts_of',
+    'unaccounted_servers',
 ]
 
 LOCK_DURATION_S = 2.0  # a lock holder acts within this time of its last record
@@ -49,6 +54,10 @@
 # remaining time, so that hundreds of ranks add no gap.
 RELAYED_STAGGER_S = 0.08
 RELAYED_MAX_DELAY_S = 0.2
+# Between two requests to a server whose report is missing. With more proxies
+# each asks less often, so that all together ask about 16 times a second.
+AWAIT_INTERVAL_S = 0.25
+AWAIT_PROXIES = 4
 
 
 class ServerReport(NamedTuple):
@@ -96,6 +105,78 @@
     )
 
 
+def starts_of(tables: FleetTables, group: str) -> dict[str, int]:
+    """Return the servers of a group and their starts, as a record has them."""
+    return {
+        server.name: server.born_ms
+        for server in sorted(tables.servers.values())
+        if server.group == group
+    }
+
+
+def former_primary(tables: FleetTables, record: GroupRecord) -> Server | None:
+    """Return the recorded primary if it has kept its log, as far as is known.
+
+    After another start, a server holds no earlier data.
+    """
+    server = tables.servers.get(record.primary)
+    writes = group_state(tables, record.group).acknowledged
+    if server is None or any(
+        start.name == server.name for start in writes.ended_servers
+    ):
+        return None
+    born_ms = record.servers.get(server.name, server.born_ms)
+    return server if born_ms == server.born_ms else None
+
+
+def unaccounted_servers(
+    tables: FleetTables,
+    found: GroupRecord,
+    reported: Collection[str],
+    received: LogPosition,
+) -> list[str]:
+    """Return the servers that may have received more than a position.
+
+    Those are the ones without a report: the group's servers as they are
+    listed, those that were listed when its primary began to lead, and those
+    that have ended since, unless all that they may have confirmed is known to
+    precede the position. The primary confirms nothing.
+
+    Parameters
+    ----------
+    tables : FleetTables
+    found : GroupRecord
+        As it was found, before the present attempt of a promotion. If it was
+        restored, another server may lead, and one report may be missing.
+    reported : collection of str
+    received : LogPosition
+        The highest that was reported.
+    """
+    writes = group_state(tables, found.group).acknowledged
+    starts = starts_of(tables, found.group)
+    ended = dict(writes.ended_servers)
+    for name, born_ms in found.servers.items():
+        if starts.get(name) != born_ms:
+            ended.setdefault(ServerStart(name, born_ms), writes.lead)
+    lost = {
+        start.name
+        for start, bound in ended.items()
+        if may_be_lacking(bound, received)
+    }
+    missing = starts.keys() - set(reported) | lost
+    if is_unverified(found):
+        return [] if len(missing) <= 1 else sorted(missing)
+    return sorted(missing - {found.primary})
+
+
+def await_interval_s(tables: FleetTables, now: float) -> float:
+    """Return the time between two requests to a server that is awaited."""
+    live = 1 + sum(
+        now - peer.heard_at < PEER_LIVE_S for peer in tables.peers.values()
+    )
+    return AWAIT_INTERVAL_S * max(live / AWAIT_PROXIES, 1)
+
+
 def promotion_trigger(
     tables: FleetTables, name: str, now: float, *, missing_is_gone: bool = True
 ) -> Trigger | None:
--- a/packages/toucandeald/src/toucandeald/answer_validation.py
+++ b/packages/toucandeald/src/toucandeald/answer_validation.py
@@ -1,5 +1,6 @@
 """Validation of servers' answers before they are passed to callers."""
 
+from toucandeal.acknowledged_writes import note_acknowledged
 from toucandeal.fleet_tables import FleetTables, group_state
 from toucandeal.placement import Placement, Refusal
 from toucandeal.primary_lease import lease_expires_at
@@ -65,5 +66,7 @@
                 ReplyKind.UNKNOWN,
                 'no replica has confirmed the write in time',
             )
+        group = group_state(self._tables, placement.server.group)
+        note_acknowledged(group.acknowledged, answer.position)
         call.session.seen = max(call.session.seen, answer.position)
         return done(call.session, answer)
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 
 from toucandeal.fleet import ProxyRecord
-from toucandeal.fleet_tables import FleetTables
+from toucandeal.fleet_tables import FleetTables, awaits_server
 from toucandeal.primary_lease import counted_proxies
 from toucandeal.protocol_versions import OWN_PROTOCOL
 from toucandeald.admission import Admission
@@ -361,6 +361,10 @@
     metrics.gauge('connections_lent', parts.lending.count)
     metrics.gauge('store_calls', parts.ports.store.calls)
     metrics.gauge('store_era', parts.state.era)
+    metrics.gauge(
+        'groups_awaiting_server',
+        sum(awaits_server(parts.tables, name) for name in parts.tables.groups),
+    )
     _set_rate_metrics(parts)
     counted = counted_proxies(parts.tables.primary_lease)
     metrics.gauge('proxies_counted', len(counted))
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.relay_reports import RelaySummary
 from toucandeal.relays import NO_MEMBERSHIP
 from toucandeal.store_versions import StoreVersion
@@ -147,11 +148,16 @@
     """The sender no longer works with the primary of `group`.
 
     `version` is that of the record with which the promotion began.
+    `acknowledged` is the last position that the sender has acknowledged, and
+    `acknowledged_earlier` a bound on those of its earlier processes; None if
+    unknown, as it is for a sender of an earlier build.
     """
 
     sender: str
     group: str
     version: StoreVersion
+    acknowledged: LogPosition = NOTHING_SEEN
+    acknowledged_earlier: LogPosition | None = None
 
 
 FleetMessage = (
--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -10,8 +10,15 @@
 5. Record the new primary.
 """
 
+import functools
 import math
 
+from toucandeal.acknowledged_writes import (
+    Acknowledged,
+    FleetAcknowledged,
+    acknowledged_by,
+    combine_acknowledged,
+)
 from toucandeal.errors import (
     PromotionAbandoned,
     StoreUnavailable,
@@ -30,8 +37,10 @@
     leads_since,
     promotion_delay_s,
     promotion_trigger,
+    starts_of,
 )
-from toucandeal.store_versions import NO_VERSION, StoreVersion
+from toucandeal.store_versions import NO_VERSION
+from toucandeald.awaited_servers import AwaitedServers
 from toucandeald.background_tasks import run_in_background
 from toucandeald.fleet_wire import PromotionBegun, RowCopy, WorkStopped
 from toucandeald.gossip import Gossip
@@ -86,6 +95,9 @@
         self._locks = PromotionLockManager(clock, tables, state, store)
         self._orders = PromotionOrders(clock, tables.name, store, self._locks)
         self._choice = PromotionChoice(clock, tables, watch, reports)
+        self._awaited = AwaitedServers(
+            clock, tables, reports, self._choice.may_have_been_replaced
+        )
         self._work_stopper = work_stopper
         self._clock = clock
         self._tables = tables
@@ -96,7 +108,8 @@
         self._reports = reports
         self._running = False
         self._triggered_since: dict[str, float] = {}
-        self._stopped_versions: dict[str, dict[str, StoreVersion]] = {}
+        # By group and proxy, the confirmation of the newest record.
+        self._stopped: dict[str, dict[str, WorkStopped]] = {}
         # By group, when all earlier orders have taken effect, or never will.
         self._effect_until: dict[str, float] = {}
         # By group, the server that leads then if it has not failed; empty if
@@ -117,7 +130,7 @@
             return
         for name in self._group_names():
             trigger = self._trigger(name, now)
-            if trigger is None:
+            if trigger is None or not self._awaited.may_try(name):
                 self._triggered_since.pop(name, None)
                 continue
             since = self._triggered_since.setdefault(name, now)
@@ -128,10 +141,10 @@
 
     def peer_stopped(self, message: WorkStopped) -> None:
         """Record that a peer confirms it stopped work with the primary."""
-        versions = self._stopped_versions.setdefault(message.group, {})
-        versions[message.sender] = max(
-            message.version, versions.get(message.sender, NO_VERSION)
-        )
+        stopped = self._stopped.setdefault(message.group, {})
+        known = stopped.get(message.sender)
+        if known is None or message.version >= known.version:
+            stopped[message.sender] = message
 
     def _group_names(self) -> list[str]:
         configuration = self._tables.configuration
@@ -216,7 +229,9 @@
             raise PromotionAbandoned(
                 'no single server is the primary of the group'
             )
-        record = GroupRecord(name, claims[0].name)
+        record = GroupRecord(
+            name, claims[0].name, servers=starts_of(self._tables, name)
+        )
         await self._store.transact(
             [Precondition(RECORDS_TABLE, group_key(name), NO_VERSION)],
             [Put(RECORDS_TABLE, group_key(name), encode_group(record))],
@@ -261,6 +276,7 @@
                 planned=trigger.planned,
                 holder=self._tables.name,
                 attempts=self._attempts(record),
+                awaited=(),
             )
         )
 
@@ -321,13 +337,8 @@
         )
 
     def _proxies_not_stopped(self, record: GroupRecord) -> set[str]:
-        versions = self._stopped_versions.get(record.group, {})
         others = set(self._tables.primary_lease.registered)
-        stopped = {
-            name
-            for name, version in versions.items()
-            if version >= record.version
-        }
+        stopped = set(self._confirmations(record))
         own = self._tables.name
         if (
             self._work_stopper.stopped_versions.get(record.group, NO_VERSION)
@@ -359,18 +370,50 @@
                 await self._lead_again(held_lock, leader)
             await self._complete_promotion(held_lock, leader.name, leader.term)
             return
-        chosen, term = await self._choice.choose_replica(
-            record, planned=trigger.planned
+        choice = await self._choice.choose_replica(
+            record,
+            found,
+            functools.partial(self._acknowledged, record),
+            planned=trigger.planned,
         )
+        chosen = choice.server
         if chosen is None and steady_seconds() < self._effect_until[name]:
             raise PromotionAbandoned('an earlier order may still take effect')
         if chosen is None:
-            await self._restore_primary(held_lock, leader)
+            await self._restore_primary(held_lock, leader, choice.awaited)
             raise PromotionAbandoned('no replica can take over')
         held_lock = await self._order(held_lock, chosen)
-        term = await self._wait_for_effect(held_lock, chosen, term)
+        term = await self._wait_for_effect(held_lock, chosen, choice.term)
         await self._complete_promotion(held_lock, chosen.name, term)
 
+    def _confirmations(self, record: GroupRecord) -> dict[str, WorkStopped]:
+        """Return the peers' confirmations that work has stopped."""
+        return {
+            name: message
+            for name, message in self._stopped.get(record.group, {}).items()
+            if message.version >= record.version
+        }
+
+    def _acknowledged(self, record: GroupRecord) -> FleetAcknowledged:
+        """Return what all proxies have acknowledged, as far as is known."""
+        writes = group_state(self._tables, record.group).acknowledged
+        confirmations = self._confirmations(record)
+        own = self._tables.name
+        answers: dict[str, Acknowledged | None] = {
+            name: None for name in self._tables.primary_lease.registered
+        }
+        answers.update(
+            (
+                name,
+                Acknowledged(
+                    message.acknowledged, message.acknowledged_earlier
+                ),
+            )
+            for name, message in confirmations.items()
+        )
+        answers[own] = acknowledged_by(writes)
+        return combine_acknowledged(answers.values(), writes.departed)
+
     async def _order(self, held_lock: HeldLock, chosen: Server) -> HeldLock:
         """Order the promotion of a server, and return the lock."""
         name = held_lock.record.group
@@ -410,10 +453,16 @@
             raise PromotionAbandoned('an order may still take effect')
 
     async def _restore_primary(
-        self, held_lock: HeldLock, leader: Leader | None
+        self,
+        held_lock: HeldLock,
+        leader: Leader | None,
+        awaited: tuple[str, ...],
     ) -> None:
         """Record the old primary again, as no replica can take over.
 
+        The record has the servers whose reports are missing, so that no proxy
+        tries again before one of them answers.
+
         If an earlier order may have made a server lead that gives no answer,
         the old primary is promoted first. It is recorded by a later attempt,
         with the term that it reports then.
@@ -423,14 +472,19 @@
         primary = self._tables.servers.get(record.primary)
         if self._leads_then[name] != record.primary:
             if primary is None:
+                self._awaited.begin(record, awaited)
                 raise PromotionAbandoned('another server may lead')
-            await self._order(held_lock, primary)
+            try:
+                await self._order(held_lock, primary)
+            except PromotionAbandoned:
+                self._awaited.begin(record, awaited)
+                raise
             raise PromotionAbandoned('the old primary is to lead again')
         if self._found_records[name].changing and leader is None:
             self._leads_then[name] = ''
             raise PromotionAbandoned('no server reports that it leads')
         term = record.term if leader is None else leader.term
-        await self._complete_promotion(held_lock, record.primary, term)
+        await self._complete_promotion(held_lock, record.primary, term, awaited)
 
     async def _wait_for_effect(
         self, held_lock: HeldLock, chosen: Server, term: int
@@ -450,10 +504,24 @@
         )
 
     async def _complete_promotion(
-        self, held_lock: HeldLock, primary: str, term: int
+        self,
+        held_lock: HeldLock,
+        primary: str,
+        term: int,
+        awaited: tuple[str, ...] = (),
     ) -> None:
         """Record the group's primary and send the record to the peers."""
         await self._orders.settle()
-        await self._locks.complete_promotion(held_lock, primary, term)
+        begun = held_lock.record
+        record = GroupRecord(
+            begun.group,
+            primary,
+            term,
+            servers=begun.servers
+            if primary == begun.primary
+            else starts_of(self._tables, begun.group),
+            awaited=awaited,
+        )
+        await self._locks.complete_promotion(held_lock, record)
         self._watch.stepped_down.pop(held_lock.record.group, None)
         self._gossip.send_records()
--- a/packages/toucandeald/src/toucandeald/promotion_lock.py
+++ b/packages/toucandeald/src/toucandeald/promotion_lock.py
@@ -204,7 +204,7 @@
         )
 
     async def complete_promotion(
-        self, held_lock: HeldLock, primary: str, term: int
+        self, held_lock: HeldLock, record: GroupRecord
     ) -> None:
         """Record the group's primary, and release the lock if it is held.
 
@@ -217,7 +217,6 @@
         PromotionAbandoned
             Another proxy has resumed the promotion.
         """
-        record = GroupRecord(held_lock.record.group, primary, term)
         answer, lock = await self._record_primary(held_lock, record)
         await self._state.read_records()
         recorded = _has_recorded(answer, record)
@@ -225,8 +224,9 @@
             'promotion',
             group=record.group,
             step='settled' if recorded else 'superseded',
-            server=primary,
-            term=term,
+            server=record.primary,
+            term=record.term,
+            awaited=record.awaited,
             lock=lock,
         )
         if not recorded:
--- a/packages/toucandeald/src/toucandeald/server_list.py
+++ b/packages/toucandeald/src/toucandeald/server_list.py
@@ -3,6 +3,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from toucandeal.acknowledged_writes import (
+    ServerStart,
+    note_server_ended,
+    note_server_listed,
+)
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import FleetTables, server_load
 from toucandeal.store_versions import NO_VERSION, StoreVersion
@@ -49,7 +54,7 @@
         for name, removed_at in list(self._removed_at.items()):
             if now - removed_at >= REMOVAL_DELAY_S:
                 self._removed_at.pop(name)
-                self._tables.servers.pop(name, None)
+                self._end(name)
                 self._tables.leaving_since.pop(name, None)
                 log_event('server gone', server=name)
         for held in list(self._held.values()):
@@ -104,14 +109,20 @@
         try:
             server = self._decode(row)
         except ValueError as error:
-            self._tables.servers.pop(row.key, None)
+            self._end(row.key)
             log_event('entry unreadable', server=row.key, reason=str(error))
             return
         known = self._tables.servers.get(server.name)
-        self._tables.servers[server.name] = server
         if known is not None and known.born_ms != server.born_ms:
             # A restarted server holds no earlier data: discard observations.
+            self._end(server.name)
             self._tables.loads.pop(server.name, None)
+        self._tables.servers[server.name] = server
+        group = self._tables.groups.get(server.group)
+        if group is not None:
+            note_server_listed(
+                group.acknowledged, ServerStart(server.name, server.born_ms)
+            )
         server_load(self._tables, server.name)
         if server.leaving:
             self._tables.leaving_since.setdefault(server.name, steady_seconds())
@@ -120,6 +131,19 @@
         if server != known:
             log_event('server', **server._asdict())
 
+    def _end(self, name: str) -> None:
+        """Remove a server, and remember that it may have confirmed writes."""
+        server = self._tables.servers.pop(name, None)
+        if server is None:
+            return
+        group = self._tables.groups.get(server.group)
+        if group is not None:
+            note_server_ended(
+                group.acknowledged,
+                ServerStart(name, server.born_ms),
+                steady_seconds(),
+            )
+
 
 def _is_outdated_copy(row: SharedRow, known: SharedRow) -> bool:
     """Return whether a restored store lists an entry of before `known`.
--- a/packages/toucandeald/src/toucandeald/shared_records.py
+++ b/packages/toucandeald/src/toucandeald/shared_records.py
@@ -57,7 +57,9 @@
     changing: bool = False
     planned: bool = False
     holder: str = ''
-    attempts: NaturalNumber = 0  # earlier builds write none
+    attempts: NaturalNumber = 0  # earlier builds write none of these
+    servers: dict[str, NaturalNumber] = {}
+    awaited: tuple[str, ...] = ()
 
 
 class _Proxy(msgspec.Struct):
@@ -112,6 +114,8 @@
             record.planned,
             record.holder,
             record.attempts,
+            dict(record.servers),
+            record.awaited,
         )
     )
 
@@ -177,6 +181,8 @@
                 group.holder,
                 row.version,
                 group.attempts,
+                group.servers,
+                group.awaited,
             )
         )
     elif row.key.startswith(_PROXY_PREFIX):
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from toucandeal.acknowledged_writes import note_departure
 from toucandeal.configuration_freshness import prove_by_call, start_era
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import (
@@ -25,6 +26,7 @@
     configuration_version,
 )
 from toucandeal.primary_lease import (
+    LEASE_DURATION_S,
     begin_era,
     lease_expires_at,
     record_store_read,
@@ -310,12 +312,13 @@
                 self.records_version, newest_group_version(decoded)
             )
         self.unconfirmed = None if confirmed else decoded
-        record_store_read(
-            self._tables.primary_lease,
-            sent_at,
-            decoded.proxies,
-            confirmed=confirmed,
-        )
+        lease = self._tables.primary_lease
+        registered = set(lease.registered)
+        record_store_read(lease, sent_at, decoded.proxies, confirmed=confirmed)
+        if registered - set(lease.registered):
+            until = steady_seconds() + LEASE_DURATION_S
+            for group in self._tables.groups.values():
+                note_departure(group.acknowledged, until)
 
     def _store_lost(self, reason: str) -> None:
         if self.store_reachable:
--- a/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
+++ b/packages/toucandeald/src/toucandeald/tests/simulated_fleet.py
@@ -292,6 +292,7 @@
         self.proxies = {}
         self.cut = set()
         self.cut_from_store = set()
+        self.silent_primaries = set()  # groups
         self.messages = collections.Counter()
         self.received = collections.Counter()
         self.bytes = collections.Counter()
@@ -408,8 +409,9 @@
     def _tick(self, proxy):
         proxy.gossip.contact_new_peers()
         for group in GROUPS:
-            load = server_load(proxy.tables, f'{group}-primary')
-            load.heard_at = self.clock.now
+            if group not in self.silent_primaries:
+                load = server_load(proxy.tables, f'{group}-primary')
+                load.heard_at = self.clock.now
 
 
 def decode_configuration(content):
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -2,7 +2,12 @@
 
 import pytest
 
+from toucandeal.acknowledged_writes import (
+    note_acknowledged,
+    note_primary_position,
+)
 from toucandeal.fleet import GroupRecord
+from toucandeal.fleet_tables import group_state, server_load
 from toucandeal.positions import LogPosition
 from toucandeal.promotion import ServerReport
 from toucandeald.steady_clock import pause
@@ -303,6 +308,98 @@
     fleet.check()
 
 
+def lose_a_replica_with_the_primary(fleet, group):
+    """Let a primary and one of its two replicas give no answer."""
+    for proxy in fleet.proxies.values():
+        tables = proxy.tables
+        replica = tables.servers[f'{group}-replica']
+        other = replica._replace(name=f'{group}-other')
+        tables.servers[other.name] = other
+        load = server_load(tables, f'{group}-primary')
+        load.unreachable_since = fleet.clock.now
+    fleet.silent_primaries.add(group)
+    silent = (f'{group}-primary', f'{group}-other')
+    fleet.reports.unreachable.update(silent)
+
+
+def test_a_group_that_lacks_a_report_leaves_the_lock_to_others(fleet):
+    # Guards against the loss of acknowledged commits that only a silent replica
+    # has (review/6). While it is awaited, the store and the lock are free.
+    lose_a_replica_with_the_primary(fleet, FIRST)
+    for name in ('p0', 'p1', 'p2', 'p3'):
+        fleet.assign(name, FIRST)
+    fleet.run(3.0)
+    assert not fleet.service.orders
+    assert fleet.primary(FIRST) == f'{FIRST}-primary'
+    writes = len(fleet.lock_writes)
+    fleet.run(5.0)
+    assert len(fleet.lock_writes) == writes == 2
+    fleet.replace_primary('p1', SECOND)
+    fleet.run(1.5)
+    assert fleet.primary(SECOND) == f'{SECOND}-replica'
+    fleet.assign('p1', FIRST)
+    fleet.reports.unreachable.discard(f'{FIRST}-other')
+    fleet.run(2.0)
+    assert fleet.primary(FIRST) in {f'{FIRST}-other', f'{FIRST}-replica'}
+    fleet.check()
+
+
+def test_a_group_that_lacks_a_report_goes_on_with_its_primary(fleet):
+    # The primary has every commit, so a group does not wait for the replica.
+    lose_a_replica_with_the_primary(fleet, FIRST)
+    fleet.assign('p0', FIRST)
+    fleet.run(3.0)
+    for proxy in fleet.proxies.values():
+        load = server_load(proxy.tables, f'{FIRST}-primary')
+        load.unreachable_since = None
+    fleet.silent_primaries.clear()
+    fleet.reports.unreachable.discard(f'{FIRST}-primary')
+    fleet.run(3.0)
+    assert fleet.primary(FIRST) == f'{FIRST}-primary'
+    assert not fleet.without_lease()
+    writes = len(fleet.lock_writes)
+    lose_a_replica_with_the_primary(fleet, FIRST)
+    fleet.run(4.0)
+    assert len(fleet.lock_writes) == writes
+    fleet.reports.unreachable.discard(f'{FIRST}-other')
+    fleet.run(2.0)
+    assert fleet.primary(FIRST) in {f'{FIRST}-other', f'{FIRST}-replica'}
+    fleet.check()
+
+
+def test_a_server_that_an_operator_has_promoted_ends_the_wait(fleet):
+    # Otherwise a group stays without a primary if the others are lost for good.
+    lose_a_replica_with_the_primary(fleet, FIRST)
+    fleet.assign('p0', FIRST)
+    fleet.run(3.0)
+    promoted = f'{FIRST}-replica'
+    fleet.service.leaders[FIRST] = promoted
+    fleet.service.terms[FIRST] += 1
+    for proxy in fleet.proxies.values():
+        servers = proxy.tables.servers
+        servers[promoted] = servers[promoted]._replace(claims_primary=True)
+    fleet.run(8.0)
+    assert fleet.primary(FIRST) == promoted
+    # As the others are silent, it is ordered to lead again first.
+    assert {order.server for order in fleet.service.orders} <= {promoted}
+    fleet.check()
+
+
+def test_proxies_tell_what_they_have_acknowledged_when_they_stop(fleet):
+    # A replica with all of it takes over at once, though another one is silent.
+    position = LogPosition(1, 9)
+    for proxy in fleet.proxies.values():
+        writes = group_state(proxy.tables, FIRST).acknowledged
+        note_primary_position(writes, position, fleet.clock.now)
+        note_acknowledged(writes, position)
+    lose_a_replica_with_the_primary(fleet, FIRST)
+    fleet.assign('p0', FIRST)
+    fleet.run(2.0)
+    assert len(fleet.lock_writes) == 2
+    assert fleet.primary(FIRST) == f'{FIRST}-replica'
+    fleet.check()
+
+
 def leaders_while_recorded(fleet, server, seconds, **options):
     """Run a fleet; return who led while a server was the recorded primary."""
     leaders = set()
--- a/packages/toucandeald/src/toucandeald/work_stopper.py
+++ b/packages/toucandeald/src/toucandeald/work_stopper.py
@@ -1,5 +1,6 @@
 """Stop work with a primary once a promotion of its group has begun."""
 
+from toucandeal.acknowledged_writes import acknowledged_by
 from toucandeal.fleet import GroupRecord
 from toucandeal.fleet_tables import FleetTables, group_state
 from toucandeal.store_versions import NO_VERSION, StoreVersion
@@ -72,9 +73,7 @@
         group = message.record.key.removeprefix(group_key(''))
         version = self.stopped_versions.get(group, NO_VERSION)
         if version >= message.record.version:
-            self._gossip.send(
-                message.address, WorkStopped(self._name, group, version)
-            )
+            self._gossip.send(message.address, self._message(group, version))
 
     async def _end_planned(self, record: GroupRecord) -> None:
         group = group_state(self._tables, record.group)
@@ -94,5 +93,18 @@
         holder = self._gossip.addresses().get(record.holder)
         if holder is not None:
             self._gossip.send(
-                holder, WorkStopped(self._name, record.group, record.version)
+                holder, self._message(record.group, record.version)
             )
+
+    def _message(self, group: str, version: StoreVersion) -> WorkStopped:
+        """Return the confirmation; nothing is acknowledged after it."""
+        acknowledged = acknowledged_by(
+            group_state(self._tables, group).acknowledged
+        )
+        return WorkStopped(
+            self._name,
+            group,
+            version,
+            acknowledged.own,
+            acknowledged.earlier,
+        )
