Give a connection only to statements of its workspace after a freeze

Cause: None had three meanings: a request that any connection may serve, a connection whose workspace is not known, and no restriction in next_statement. When a connection arrived that a lender had chosen for a request of the proxy's own, the pool looked for the next statement without a restriction. Normally that is the request itself. After a freeze it was late, its timers had not run, and the first statement in time got the connection, of any workspace.

Ruled out: a lender that grants a wrong connection, a key that moved, an answer to another loan.

Change: each meaning has a type of its own, and the statement for a connection is chosen by a function that has no form without a restriction. A last check compares the workspaces where a pool hands out a connection; a mismatch is logged and counted. A lender sends no caller's statement over a connection that it has lent for any workspace, whatever the build of the borrower. Statements whose time has passed get no connection, whether their timer has run or not.

Why this works: a connection of an unknown workspace matches no statement of a caller in any order of events, late or not.

--- a/packages/toucandeal/src/toucandeal/statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/statement_queue.py
@@ -20,6 +20,12 @@
 from collections.abc import Iterable, Iterator, Set
 from typing import NamedTuple
 
+from toucandeal.connection_workspaces import (
+    ANY_WORKSPACE,
+    UNKNOWN_WORKSPACE,
+    ConnectionWorkspace,
+    RequestedWorkspace,
+)
 from toucandeal.queues import (
     FairQueue,
     Place,
@@ -41,6 +47,7 @@
     'is_worth_waiting',
     'leave',
     'next_statement',
+    'next_statement_for',
     'service_lead',
     'waiting_statement',
 ]
@@ -51,14 +58,14 @@
 
     `late_at` is when its caller's latency objective ends, and `ends_at` the
     time from which a connection is too late for an answer. The connection has
-    to be one of `workspace`; a request of the proxy's own (None) may use any.
+    to be one of `workspace`; a request of the proxy's own may use any.
     """
 
     priority: int
     database: str
     late_at: float
     ends_at: float
-    workspace: str | None = ''
+    workspace: RequestedWorkspace = ''
 
 
 class WaitingStatement(NamedTuple):
@@ -88,7 +95,9 @@
         """Start empty."""
         self.waiting: dict[int, WaitingStatement] = {}
         self.by_priority: dict[int, _WorkspaceQueue] = {}
-        self.counts: collections.Counter[str | None] = collections.Counter()
+        self.counts: collections.Counter[RequestedWorkspace] = (
+            collections.Counter()
+        )
 
     def __len__(self) -> int:
         """Return the number of waiting statements."""
@@ -147,9 +156,9 @@
     )
 
 
-def _queue_name(workspace: str | None) -> str:
+def _queue_name(workspace: RequestedWorkspace) -> str:
     """Return a workspace's name in a fair queue; names there are strings."""
-    return '' if workspace is None else f'={workspace}'
+    return '' if workspace is ANY_WORKSPACE else f'={workspace}'
 
 
 def _levels(queue: StatementQueue) -> Iterator[_WorkspaceQueue]:
@@ -224,16 +233,9 @@
 
 
 def next_statement(
-    queue: StatementQueue, now: float, workspace: str | None = None
+    queue: StatementQueue, now: float
 ) -> WaitingStatement | None:
-    """Return the statement that gets the next connection.
-
-    Parameters
-    ----------
-    queue : StatementQueue
-    now : float
-    workspace : str, optional
-        Consider only statements that a connection of this workspace may serve.
+    """Return the most urgent statement, of any workspace.
 
     Examples
     --------
@@ -243,9 +245,36 @@
     >>> next_statement(queue, 2.0).identity, next_statement(queue, 4.0).identity
     (1, 2)
     """
-    usable = None
-    if workspace is not None:
-        usable = {_queue_name(workspace), _queue_name(None)}
+    return _next(queue, now, None)
+
+
+def next_statement_for(
+    queue: StatementQueue, now: float, workspace: ConnectionWorkspace
+) -> WaitingStatement | None:
+    """Return the statement that gets a connection of a workspace.
+
+    Examples
+    --------
+    >>> queue = StatementQueue()
+    >>> request = ConnectionRequest(1, 'a', 3.0, 9.0, 'north')
+    >>> enter(queue, WaitingStatement(request, 1))
+    >>> next_statement_for(queue, 2.0, 'north').identity
+    1
+    >>> next_statement_for(queue, 2.0, 'south') is None
+    True
+    >>> next_statement_for(queue, 2.0, UNKNOWN_WORKSPACE) is None
+    True
+    """
+    usable = {_queue_name(ANY_WORKSPACE)}
+    if workspace is not UNKNOWN_WORKSPACE:
+        usable.add(_queue_name(workspace))
+    return _next(queue, now, usable)
+
+
+def _next(
+    queue: StatementQueue, now: float, usable: Set[str] | None
+) -> WaitingStatement | None:
+    """Return the next statement among those with usable names, or of all."""
     first = next(
         (
             first_entry(level.databases[name])
@@ -295,7 +324,7 @@
     ...     connection_request = ConnectionRequest(1, 'd', 5.0, 9.0, name)
     ...     enter(queue, WaitingStatement(connection_request, number))
     >>> for _ in range(2):
-    ...     leave(queue, next_statement(queue, 0.0, 'a'), served=True)
+    ...     leave(queue, next_statement_for(queue, 0.0, 'a'), served=True)
     >>> service_lead(queue, 1, 'a', 'b')
     2
     """
--- a/packages/toucandeal/src/toucandeal/tests/plain_statement_order.py
+++ b/packages/toucandeal/src/toucandeal/tests/plain_statement_order.py
@@ -6,6 +6,11 @@
 import collections
 from collections.abc import Iterator
 
+from toucandeal.connection_workspaces import (
+    ConnectionWorkspace,
+    RequestedWorkspace,
+    serves,
+)
 from toucandeal.queues import in_service_order
 from toucandeal.statement_queue import (
     ConnectionRequest,
@@ -17,6 +22,7 @@
     'count_ahead',
     'first_of_workspaces',
     'next_statement',
+    'next_statement_for',
     'service_order',
 ]
 
@@ -33,15 +39,27 @@
 
 
 def next_statement(
-    queue: StatementQueue, now: float, workspace: str | None = None
+    queue: StatementQueue, now: float
+) -> WaitingStatement | None:
+    """Return the most urgent statement, of any workspace."""
+    return _next(list(service_order(queue)), now)
+
+
+def next_statement_for(
+    queue: StatementQueue, now: float, workspace: ConnectionWorkspace
 ) -> WaitingStatement | None:
-    """Return the statement that gets the next connection."""
+    """Return the statement that gets a connection of a workspace."""
     ordered = [
         statement
         for statement in service_order(queue)
-        if workspace is None
-        or statement.connection_request.workspace in {workspace, None}
+        if serves(workspace, statement.connection_request.workspace)
     ]
+    return _next(ordered, now)
+
+
+def _next(
+    ordered: list[WaitingStatement], now: float
+) -> WaitingStatement | None:
     in_time = [
         statement
         for statement in ordered
@@ -52,7 +70,7 @@
 
 def first_of_workspaces(queue: StatementQueue) -> list[ConnectionRequest]:
     """Return the first request of each workspace, in order of service."""
-    first: dict[str | None, ConnectionRequest] = {}
+    first: dict[RequestedWorkspace, ConnectionRequest] = {}
     for statement in service_order(queue):
         request = statement.connection_request
         first.setdefault(request.workspace, request)
--- a/packages/toucandeal/src/toucandeal/tests/test_statement_queue.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_statement_queue.py
@@ -3,6 +3,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from toucandeal.connection_workspaces import (
+    ANY_WORKSPACE,
+    UNKNOWN_WORKSPACE,
+)
 from toucandeal.statement_queue import (
     ConnectionRequest,
     ServiceRate,
@@ -14,6 +18,7 @@
     is_worth_waiting,
     leave,
     next_statement,
+    next_statement_for,
 )
 from toucandeal.tests import plain_statement_order
 
@@ -142,10 +147,12 @@
     queue = StatementQueue()
     _enter(queue, 1, priority=0, workspace='a')
     _enter(queue, 2, priority=2, workspace='b')
-    assert next_statement(queue, 0.0, 'b').identity == 2
-    assert next_statement(queue, 0.0, 'c') is None
-    _enter(queue, 3, priority=-1, workspace=None)
-    assert next_statement(queue, 0.0, 'c').identity == 3
+    assert next_statement_for(queue, 0.0, 'b').identity == 2
+    assert next_statement_for(queue, 0.0, 'c') is None
+    assert next_statement_for(queue, 0.0, UNKNOWN_WORKSPACE) is None
+    _enter(queue, 3, priority=-1, workspace=ANY_WORKSPACE)
+    assert next_statement_for(queue, 0.0, 'c').identity == 3
+    assert next_statement_for(queue, 0.0, UNKNOWN_WORKSPACE).identity == 3
 
 
 def test_a_backlog_of_one_workspace_does_not_refuse_another():
@@ -159,14 +166,14 @@
     assert expected_wait_s(queue, request, SERVICE, 1.0) == 0.02
 
 
-WORKSPACES = ('', 'a', 'b', None)
+WORKSPACES = ('', 'a', 'b')
 REQUESTS = st.builds(
     ConnectionRequest,
     priority=st.integers(0, 2),
     database=st.sampled_from('xyz'),
     late_at=st.integers(0, 10).map(float),
     ends_at=st.just(20.0),
-    workspace=st.sampled_from(WORKSPACES),
+    workspace=st.sampled_from([*WORKSPACES, ANY_WORKSPACE]),
 )
 CHANGES = st.one_of(
     REQUESTS,
@@ -185,10 +192,13 @@
             place, served = change
             waiting = list(plain_statement_order.service_order(queue))
             leave(queue, waiting[place % len(waiting)], served=served)
-        for workspace in WORKSPACES:
-            assert next_statement(
+        assert next_statement(
+            queue, now
+        ) == plain_statement_order.next_statement(queue, now)
+        for workspace in (*WORKSPACES, UNKNOWN_WORKSPACE):
+            assert next_statement_for(
                 queue, now, workspace
-            ) == plain_statement_order.next_statement(queue, now, workspace)
+            ) == plain_statement_order.next_statement_for(queue, now, workspace)
         assert first_of_workspaces(
             queue
         ) == plain_statement_order.first_of_workspaces(queue)
--- a/packages/toucandeal/src/toucandeal/workspace_connections.py
+++ b/packages/toucandeal/src/toucandeal/workspace_connections.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
+from toucandeal.connection_workspaces import ConnectionWorkspace
 from toucandeal.statement_queue import ConnectionRequest
 
 __all__ = [
@@ -27,7 +28,6 @@
     'choose_idle_to_close',
     'is_opening_useful',
     'keeps_workspace',
-    'serves',
 ]
 
 # A connection unused for longer saves its workspace less than one opening in
@@ -43,7 +43,7 @@
     """An idle connection, its workspace and the start of its idle time."""
 
     connection: Any
-    workspace: str | None
+    workspace: ConnectionWorkspace
     since: float
 
 
@@ -54,20 +54,6 @@
     use_s: float
 
 
-def serves(workspace: str | None, requested: str | None) -> bool:
-    """Return whether a connection of a workspace may serve a request.
-
-    A request of the proxy's own (None) may use any connection. A connection
-    whose workspace is unknown (None) serves only such requests.
-
-    Examples
-    --------
-    >>> serves('a', 'a'), serves('a', None), serves('a', 'b'), serves(None, '')
-    (True, True, False, False)
-    """
-    return requested is None or workspace == requested
-
-
 def is_opening_useful(
     waiting: int, opening: int, in_use: int, cost: OpeningCost
 ) -> bool:
@@ -100,8 +86,8 @@
 
 def choose_idle_to_close(
     idle: Iterable[IdleConnection],
-    held: Mapping[str | None, int],
-    workspace: str | None,
+    held: Mapping[ConnectionWorkspace, int],
+    workspace: ConnectionWorkspace,
     now: float,
 ) -> Any:
     """Return the idle connection to close for another workspace, or None.
@@ -113,9 +99,9 @@
     Parameters
     ----------
     idle : iterable of IdleConnection
-    held : mapping of str to int
+    held : mapping of workspace to int
         Connections by workspace, whether idle, in use or being opened.
-    workspace : str or None
+    workspace : ConnectionWorkspace
         The workspace that needs a connection.
     now : float
 
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -11,6 +11,7 @@
     PreparedShape,
     PrepareShape,
 )
+from toucandeal.connection_workspaces import ANY_WORKSPACE
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.lending import (
@@ -364,6 +365,8 @@
         Otherwise the result is `LENDER_BUSY` or `NOT_LENT`.
         """
         loan_id = next(self._loan_ids)
+        requested = connection_request.workspace
+        workspace = None if requested is ANY_WORKSPACE else requested
         address = self._tables.peers[lender].address
         waiting: defer.Deferred = defer.Deferred()
         self._pending[loan_id] = _PendingLoan(lender, waiting)
@@ -381,7 +384,7 @@
                 loan_id,
                 server.name,
                 wait_s,
-                connection_request.workspace,
+                workspace,
                 connection_request.priority,
                 connection_request.database,
                 connection_request.late_at - now,
--- a/packages/toucandeald/src/toucandeald/connection_pool.py
+++ b/packages/toucandeald/src/toucandeald/connection_pool.py
@@ -13,6 +13,12 @@
 from twisted.internet import defer
 
 from toucandeal.caller_sessions import PreparedShape
+from toucandeal.connection_workspaces import (
+    UNKNOWN_WORKSPACE,
+    ConnectionWorkspace,
+    serves,
+    workspace_if_opened,
+)
 from toucandeal.fleet import Server
 from toucandeal.statement_queue import (
     ConnectionRequest,
@@ -24,10 +30,11 @@
     is_worth_waiting,
     leave,
     next_statement,
+    next_statement_for,
     service_lead,
     waiting_statement,
 )
-from toucandeal.workspace_connections import keeps_workspace, serves
+from toucandeal.workspace_connections import keeps_workspace
 from toucandeald.background_tasks import run_in_background
 from toucandeald.borrowing import LENDER_BUSY
 from toucandeald.held_connections import HeldConnections
@@ -58,8 +65,9 @@
     statements of their workspace sooner. `borrows` is set unless the owner may
     open connections itself; without `retains_idle`, those that it has opened
     are closed once they are idle. `uses` counts, by workspace, the connections
-    acquired since the owner last cleared it. The server accepts no more
-    connections until `full_until`, as far as is known.
+    acquired since the owner last cleared it. `mismatches` counts those that
+    were withheld from a statement of another workspace. The server accepts no
+    more connections until `full_until`, as far as is known.
     """
 
     def __init__(
@@ -73,6 +81,7 @@
         self.server = server
         self.limit = 1
         self.opened = 0
+        self.mismatches = 0
         self.borrows = False
         self.retains_idle = True
         self.divided = False
@@ -110,7 +119,7 @@
         return frozenset(self._held.workspaces)
 
     @property
-    def held(self) -> collections.Counter[str | None]:
+    def held(self) -> collections.Counter[ConnectionWorkspace]:
         """Return the number of connections by workspace."""
         return self._held.counts
 
@@ -124,8 +133,30 @@
 
         The idle connection that needs the fewest setup steps is preferred. If
         all are busy, the statement waits unless it is expected to be served
-        too late.
+        too late. A connection of another workspace is never returned.
         """
+        connection = await self._find(values, shapes, connection_request)
+        held = self._held.workspaces.get(
+            connection, connection_request.workspace
+        )
+        if connection is None or serves(held, connection_request.workspace):
+            return connection
+        self.mismatches += 1
+        log_event(
+            'connection of another workspace',
+            server=self.server.name,
+            workspace=str(held),
+            requested=str(connection_request.workspace),
+        )
+        self.release(connection)
+        return None
+
+    async def _find(
+        self,
+        values: dict[str, str],
+        shapes: list[PreparedShape],
+        connection_request: ConnectionRequest,
+    ):
         workspace = connection_request.workspace
         connection = self._held.take_idle(workspace, values, shapes)
         if connection is None:
@@ -260,17 +291,24 @@
             self.discard(connection)
 
     def _next_of(
-        self, workspace: str | None, now: float
+        self, workspace: ConnectionWorkspace, now: float
     ) -> WaitingStatement | None:
-        """Return the next statement that a connection may serve."""
-        if not any(
-            serves(workspace, requested) for requested in self._queue.counts
-        ):
-            return None
-        return next_statement(self._queue, now, workspace)
+        """Return the next statement that a connection may serve.
+
+        Statements whose time has passed are abandoned. Their timers may not
+        have run yet, if the process stood still.
+        """
+        while True:
+            statement = next_statement_for(self._queue, now, workspace)
+            if statement is None or now < statement.connection_request.ends_at:
+                return statement
+            self._abandon(statement)
 
     def _more_urgent(
-        self, own: WaitingStatement, workspace: str | None, now: float
+        self,
+        own: WaitingStatement,
+        workspace: ConnectionWorkspace,
+        now: float,
     ) -> ConnectionRequest | None:
         """Return the request that gets a released connection's place."""
         first = next_statement(self._queue, now)
@@ -305,7 +343,8 @@
 
     def _mark_acquired(self, connection) -> None:
         self._held.mark_acquired(connection)
-        self.uses[self._held.workspaces[connection] or ''] += 1
+        workspace = self._held.workspaces[connection]
+        self.uses['' if workspace is UNKNOWN_WORKSPACE else workspace] += 1
         self._record_peak()
 
     def _record_peak(self) -> None:
@@ -359,16 +398,14 @@
             request.workspace, waiting
         ):
             return
-        if self.size < self.limit or self._make_room(request.workspace):
+        if self.size >= self.limit:
+            # One of another workspace makes room.
+            closed = self._held.idle_to_close(request.workspace)
+            if closed is not None:
+                self._close(closed)
+        if self.size < self.limit:
             self._start_opening(request)
 
-    def _make_room(self, workspace: str | None) -> bool:
-        """Close an idle connection of another workspace if there is one."""
-        closed = self._held.idle_to_close(workspace)
-        if closed is not None:
-            self._close(closed)
-        return self.size < self.limit
-
     def _start_opening(self, request: ConnectionRequest) -> None:
         self._held.opening[request.workspace] += 1
         run_in_background(self._open(request))
@@ -392,10 +429,9 @@
             opened.close()
             return
         self._held.record_open_time(self._clock.seconds() - began_at)
-        # A lender's connection for any workspace serves no caller here.
         is_lent = opened.borrowed
-        self._held.workspaces[opened] = (
-            workspace if is_lent else workspace or ''
+        self._held.workspaces[opened] = workspace_if_opened(
+            workspace, borrowed=is_lent
         )
         opened.on_closed = self._on_connection_closed
         if not is_lent:
@@ -408,7 +444,8 @@
         """End the statement of a refused loan if nothing else may serve it."""
         statement = waiting_statement(self._queue, request)
         if statement is not None:
-            if self._held.counts[request.workspace] > 0:
+            expected = workspace_if_opened(request.workspace, borrowed=True)
+            if self._held.counts[expected] > 0:
                 return
             self._abandon(statement)
         self._open_more()
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -359,6 +359,7 @@
     metrics.gauge('sessions', len(parts.service.sessions))
     metrics.gauge('connections_opened', parts.pools.opened)
     metrics.gauge('connections_lent', parts.lending.count)
+    metrics.gauge('workspace_mismatches', parts.pools.mismatches)
     metrics.gauge('store_calls', parts.ports.store.calls)
     metrics.gauge('store_era', parts.state.era)
     metrics.gauge(
--- a/packages/toucandeald/src/toucandeald/held_connections.py
+++ b/packages/toucandeald/src/toucandeald/held_connections.py
@@ -5,12 +5,17 @@
 from typing import Any
 
 from toucandeal.caller_sessions import PreparedShape, setup_steps
+from toucandeal.connection_workspaces import (
+    ConnectionWorkspace,
+    RequestedWorkspace,
+    serves,
+    workspace_if_opened,
+)
 from toucandeal.workspace_connections import (
     IdleConnection,
     OpeningCost,
     choose_idle_to_close,
     is_opening_useful,
-    serves,
 )
 
 __all__ = ['HeldConnections']
@@ -30,9 +35,11 @@
 
     def __init__(self, clock) -> None:
         """Start without connections."""
-        self.workspaces: dict[Any, str | None] = {}
+        self.workspaces: dict[Any, ConnectionWorkspace] = {}
         self.idle: dict[Any, float] = {}
-        self.opening: collections.Counter[str | None] = collections.Counter()
+        self.opening: collections.Counter[RequestedWorkspace] = (
+            collections.Counter()
+        )
         self.mean_use_time_s = INITIAL_USE_TIME_S
         self.mean_open_time_s = INITIAL_OPEN_TIME_S
         self._acquired_at: dict[Any, float] = {}
@@ -49,9 +56,15 @@
         return len(self._acquired_at)
 
     @property
-    def counts(self) -> collections.Counter[str | None]:
+    def counts(self) -> collections.Counter[ConnectionWorkspace]:
         """Return the number of connections by workspace."""
-        return collections.Counter(self.workspaces.values()) + self.opening
+        opening = collections.Counter(
+            {
+                workspace_if_opened(requested, borrowed=True): count
+                for requested, count in self.opening.items()
+            }
+        )
+        return collections.Counter(self.workspaces.values()) + opening
 
     @property
     def opening_cost(self) -> OpeningCost:
@@ -66,7 +79,7 @@
 
     def take_idle(
         self,
-        workspace: str | None,
+        workspace: RequestedWorkspace,
         values: dict[str, str],
         shapes: Iterable[PreparedShape],
     ) -> Any:
@@ -114,7 +127,9 @@
             open_time_s - self.mean_open_time_s
         )
 
-    def is_opening_useful(self, workspace: str | None, waiting: int) -> bool:
+    def is_opening_useful(
+        self, workspace: RequestedWorkspace, waiting: int
+    ) -> bool:
         """Return whether a new connection serves waiting statements sooner."""
         in_use = sum(
             serves(self.workspaces[connection], workspace)
@@ -124,7 +139,7 @@
             waiting, self.opening[workspace], in_use, self.opening_cost
         )
 
-    def idle_to_close(self, workspace: str | None) -> Any:
+    def idle_to_close(self, workspace: RequestedWorkspace) -> Any:
         """Return the idle connection to close for a workspace, or None."""
         return choose_idle_to_close(
             [
@@ -132,6 +147,6 @@
                 for connection, since in self.idle.items()
             ],
             self.counts,
-            workspace,
+            workspace_if_opened(workspace, borrowed=True),
             self._clock.seconds(),
         )
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from toucandeal.caller_sessions import SetupStep
+from toucandeal.connection_workspaces import ANY_WORKSPACE
 from toucandeal.fleet import ProxyRecord, Server
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.statement_queue import ConnectionRequest
@@ -21,7 +22,7 @@
 from toucandeald.logs import log_event
 from toucandeald.replies import withheld
 from toucandeald.server_pools import ServerPools, record_setup
-from toucandeald.session_messages import RollBack
+from toucandeald.session_messages import ReportStatus, RollBack, StepDown
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = ['Lending']
@@ -29,13 +30,17 @@
 BORROWER_SILENT_S = 1.5  # then its loans end
 IDLE_MARGIN_S = 1.0  # beyond the idle timeout of transactions
 
+# What proxies request without a workspace.
+_OWN_REQUESTS = (ReportStatus, RollBack, StepDown)
+
 LoanKey = tuple[str, int, int]
 
 
 class Loan(NamedTuple):
     """A lent connection, and since when it has been idle.
 
-    `heard_at` is the time of the borrower's last message about it.
+    `heard_at` is the time of the borrower's last message about it. One of any
+    workspace is for requests of the borrower's own.
     """
 
     server: Server
@@ -43,6 +48,7 @@
     address: str
     idle_since: float
     heard_at: float
+    of_any_workspace: bool = False
 
 
 class Lending:
@@ -140,7 +146,12 @@
             return
         now = steady_seconds()
         self._loans[key] = Loan(
-            server, connection, loan_request.address, now, requested_at
+            server,
+            connection,
+            loan_request.address,
+            now,
+            requested_at,
+            of_any_workspace=loan_request.workspace is None,
         )
         shapes = [tuple(shape) for shape in connection.connection_state.shapes]
         self._gossip.send(
@@ -166,7 +177,15 @@
         loan = loan._replace(idle_since=now + forwarded.timeout_s, heard_at=now)
         self._loans[key] = loan
         request = decode_request(forwarded.kind, forwarded.request)
-        if self.accepts_work or isinstance(request, RollBack):
+        if loan.of_any_workspace and not isinstance(request, _OWN_REQUESTS):
+            # A borrower of an earlier build may use it for any workspace.
+            log_event(
+                'statement of an unknown workspace',
+                borrower=key[0],
+                server=loan.server.name,
+            )
+            answer = withheld('the connection is for requests of the proxy')
+        elif self.accepts_work or isinstance(request, RollBack):
             answer = await self._pools.call(
                 loan.server, loan.connection, request, forwarded.timeout_s
             )
@@ -213,5 +232,7 @@
         loan_request.database or loan_request.sender,
         now + late_in_s,
         now + loan_request.wait_s,
-        loan_request.workspace,
+        ANY_WORKSPACE
+        if loan_request.workspace is None
+        else loan_request.workspace,
     )
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -18,6 +18,11 @@
     shape_name,
 )
 from toucandeal.connection_shares import connection_share, decayed_demand
+from toucandeal.connection_workspaces import (
+    ANY_WORKSPACE,
+    ConnectionWorkspace,
+    workspace_if_opened,
+)
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import (
     FleetTables,
@@ -88,7 +93,14 @@
         return sum(pool.opened for pool in self._pools.values())
 
     @property
-    def workspace_connections(self) -> collections.Counter[str | None]:
+    def mismatches(self) -> int:
+        """Return how many connections were withheld from other workspaces."""
+        return sum(pool.mismatches for pool in self._pools.values())
+
+    @property
+    def workspace_connections(
+        self,
+    ) -> collections.Counter[ConnectionWorkspace]:
         """Return the number of connections by workspace, to all servers."""
         return collections.Counter(
             itertools.chain.from_iterable(
@@ -260,7 +272,7 @@
             '',
             now + wait_s,
             now + wait_s,
-            None if self._divided else '',
+            ANY_WORKSPACE if self._divided else '',
         )
         connection = await pool.acquire({}, [], connection_request)
         if connection is None:
@@ -320,7 +332,9 @@
         connection_request: ConnectionRequest,
         timeout_s: float,
     ):
-        workspace = connection_request.workspace or ''
+        workspace = workspace_if_opened(
+            connection_request.workspace, borrowed=False
+        )
         source = self._borrowing.source(server, workspace)
         if source == NO_LENDER:
             return NOT_LENT
--- a/packages/toucandeald/src/toucandeald/tests/test_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_loans.py
@@ -13,6 +13,7 @@
     PrepareShape,
     SetValue,
 )
+from toucandeal.connection_workspaces import ANY_WORKSPACE
 from toucandeal.fleet import (
     FleetConfiguration,
     InteractiveGroup,
@@ -37,6 +38,7 @@
 from toucandeald.session_messages import (
     AnswerKind,
     BeginTransaction,
+    ReportStatus,
     RollBack,
     ServerAnswer,
 )
@@ -199,6 +201,21 @@
     assert pair.start_loan()[0].kind is AnswerKind.NO_CONNECTION
 
 
+def test_a_loan_for_own_requests_carries_no_statement_of_a_caller(pair):
+    # Guards against a borrower of an earlier build that sends a statement over
+    # a connection of another workspace (review/7).
+    connection = pair.start_loan(workspace=ANY_WORKSPACE)[0]
+    requests = pair.connections[0].requests
+    results = []
+    connection.call(BeginTransaction(read_only=True), 1.0).addCallback(
+        results.append
+    )
+    assert results[0].kind is AnswerKind.WITHHELD and connection.usable
+    assert not requests
+    connection.call(ReportStatus(), 1.0)
+    assert requests == [ReportStatus()]
+
+
 def test_returned_connection_is_lent_again(pair):
     connection = pair.borrow_connection()
     connection.return_to_lender()
--- a/packages/toucandeald/src/toucandeald/tests/test_workspace_pool.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_workspace_pool.py
@@ -9,8 +9,13 @@
 from twisted.internet.task import Clock
 
 from toucandeal.caller_sessions import ConnectionState
+from toucandeal.connection_workspaces import (
+    ANY_WORKSPACE,
+    workspace_if_opened,
+)
 from toucandeal.fleet import Server
-from toucandeal.statement_queue import ConnectionRequest
+from toucandeal.statement_queue import ConnectionRequest, next_statement
+from toucandeald import connection_pool
 from toucandeald.connection_pool import (
     WORKSPACE_IDLE_TIMEOUT_S,
     ConnectionPool,
@@ -24,6 +29,7 @@
 WAIT_S = 30.0
 LONG_WAIT_S = 0.1
 LIMIT = 4
+
 WORKSPACES = ('a', 'b', 'c', 'd', 'e', 'f', '')
 
 
@@ -58,6 +64,7 @@
         self.waits = collections.defaultdict(list)
         self.borrowed = borrowed
         self.violations = []
+        self.arrivals = []
         self.pool = ConnectionPool(
             self.clock, SERVER, self.open, lambda server, refusal: None
         )
@@ -92,21 +99,21 @@
         del server, timeout_s
         workspace = connection_request.workspace
         opened = defer.Deferred()
-        self.clock.callLater(OPEN_S, opened.callback, None)
+        call = self.clock.callLater(OPEN_S, opened.callback, None)
+        self.arrivals.append((call, opened))
         await opened
         if not self.accepts:
             return FULL
-        if not self.borrowed:
-            workspace = workspace or ''  # as the pools of all servers do
+        workspace = workspace_if_opened(workspace, borrowed=self.borrowed)
         self.connections.append(StubConnection(workspace, self.borrowed))
         return self.connections[-1]
 
-    def acquire(self, workspace, priority=1, use=None):
+    def acquire(self, workspace, priority=1, use=None, late_s=WAIT_S):
         """Return a list that receives the acquired connection."""
         results = []
         now = self.clock.seconds()
         request = ConnectionRequest(
-            priority, 'db', now + WAIT_S, now + WAIT_S, workspace
+            priority, 'db', now + late_s, now + WAIT_S, workspace
         )
         acquiring = defer.ensureDeferred(self.pool.acquire({}, [], request))
         acquiring.addCallback(self._check, workspace)
@@ -117,7 +124,10 @@
 
     def _check(self, connection, workspace):
         if connection is not None:
-            if workspace not in {None, connection.workspace}:
+            if (
+                workspace is not ANY_WORKSPACE
+                and workspace != connection.workspace
+            ):
                 self.violations.append((workspace, connection.workspace))
             if connection.in_use or not connection.usable:
                 self.violations.append((workspace, 'in use or closed'))
@@ -134,6 +144,15 @@
         connection.in_use = False
         self.pool.discard(connection)
 
+    def freeze(self, seconds):
+        """Let time pass for others only; then what has arrived comes first."""
+        self.clock.rightNow += seconds
+        for call, opened in self.arrivals:
+            if call.active() and call.getTime() <= self.clock.rightNow:
+                call.cancel()
+                opened.callback(None)
+        self.clock.advance(0)
+
     def advance(self, seconds):
         """Let time pass in steps, and check the limit after each."""
         for _ in range(round(seconds / 0.001)):
@@ -162,7 +181,14 @@
 
 OPERATIONS = st.lists(
     st.one_of(
-        st.tuples(st.just('acquire'), st.sampled_from([*WORKSPACES, None])),
+        st.tuples(
+            st.just('acquire'),
+            st.tuples(
+                st.sampled_from([*WORKSPACES, ANY_WORKSPACE]),
+                st.sampled_from([0.02, 0.3, WAIT_S]),
+            ),
+        ),
+        st.tuples(st.just('freeze'), st.sampled_from([15, 50, 400])),
         st.tuples(st.just('release'), st.integers(0, 9)),
         st.tuples(st.just('discard'), st.integers(0, 9)),
         st.tuples(st.just('wait'), st.sampled_from([15, 400])),
@@ -179,15 +205,19 @@
 def test_no_statement_runs_on_a_connection_of_another_workspace(
     operations, borrowed, divided
 ):
-    # Guards against a release, a closed connection or a changed limit that
-    # gives a connection to a statement of another workspace, and against a
-    # connection in use that is closed to make room.
+    # Guards against a release, a closed connection, a changed limit or a
+    # freeze of the process (review/7) that gives a connection to a statement
+    # of another workspace, and against a connection in use that is closed to
+    # make room.
     server = SimulatedServer(borrowed=borrowed)
     server.pool.divided = divided
     actions = {
-        'acquire': lambda workspace: server.acquire(
-            workspace, -1 if workspace is None else 1
+        'acquire': lambda details: server.acquire(
+            details[0],
+            -1 if details[0] is ANY_WORKSPACE else 1,
+            late_s=details[1],
         ),
+        'freeze': lambda milliseconds: server.freeze(milliseconds / 1000),
         'wait': lambda milliseconds: server.clock.advance(milliseconds / 1000),
         'limit': lambda limit: setattr(server.pool, 'limit', limit),
         'accepts': lambda accepts: setattr(server, 'accepts', accepts),
@@ -201,6 +231,83 @@
         assert len(server.users) <= server.pool.size <= LIMIT
 
 
+FREEZES = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just('acquire'),
+            st.tuples(
+                st.sampled_from(['a', 'b', ANY_WORKSPACE]),
+                st.sampled_from([0.02, WAIT_S]),
+            ),
+        ),
+        st.tuples(st.just('freeze'), st.sampled_from([15, 50])),
+        st.tuples(st.just('release'), st.integers(0, 2)),
+    ),
+    min_size=4,
+    max_size=30,
+)
+
+
+@settings(max_examples=1000, deadline=None)
+@given(FREEZES)
+def test_a_freeze_gives_no_connection_to_another_workspace(operations):
+    # Guards against review/7: a connection that a lender has chosen arrived
+    # for a request of the proxy's own that was late then, and whose timers had
+    # not run, and served a statement of any workspace.
+    server = SimulatedServer(limit=3, borrowed=True)
+    actions = {
+        'acquire': lambda details: server.acquire(
+            details[0],
+            -1 if details[0] is ANY_WORKSPACE else 1,
+            late_s=details[1],
+        ),
+        'freeze': lambda milliseconds: server.freeze(milliseconds / 1000),
+        'release': lambda number: server.end_use(number, server.release),
+    }
+    for name, detail in operations:
+        actions[name](detail)
+        assert not server.violations
+
+
+def test_a_late_request_of_the_proxy_gives_its_connection_to_nobody(server):
+    # Guards against the same, as it was found.
+    server.borrowed = True
+    own = server.acquire(ANY_WORKSPACE, priority=-1, late_s=0.01)
+    server.acquire('a')
+    server.freeze(OPEN_S)
+    assert not server.violations
+    assert own
+
+
+def test_a_connection_of_another_workspace_is_not_handed_out(
+    server, monkeypatch
+):
+    # The last check, whatever has chosen the statement.
+    first = server.acquire('a')
+    server.advance(0.02)
+    server.pool.limit = 1
+    other = server.acquire('b')
+    monkeypatch.setattr(
+        connection_pool,
+        'next_statement_for',
+        lambda queue, now, workspace: next_statement(queue, now),
+    )
+    server.release(first[0])
+    assert other == [None] and server.pool.mismatches == 1
+    assert server.acquire('a') == first
+
+
+def test_a_statement_whose_time_has_passed_in_a_freeze_gets_none(server):
+    # Its caller has been told, or is told as soon as the timers run.
+    server.pool.limit = 1
+    first = server.acquire('a')
+    server.advance(0.02)
+    late = server.acquire('a')
+    server.clock.rightNow += WAIT_S
+    server.release(first[0])
+    assert late == [None] and server.acquire('a') == first
+
+
 def test_a_small_workspace_is_not_starved_by_a_large_one(server):
     # Guards against connections that only ever serve the next statement of
     # their own workspace.
@@ -302,14 +409,14 @@
     first = server.acquire('a')
     server.advance(0.02)
     server.release(first[0])
-    assert server.acquire(None, priority=-1) == first
+    assert server.acquire(ANY_WORKSPACE, priority=-1) == first
     assert server.pool.opened == 1
 
 
 def test_a_spare_of_no_workspace_serves_no_caller_of_one(server):
     # Guards against a spare connection, opened as the proxy's fixed user, that
     # runs a statement of a workspace.
-    server.acquire(None, priority=-1)
+    server.acquire(ANY_WORKSPACE, priority=-1)
     server.advance(0.02)
     spare = server.connections[0]
     server.release(spare)
