Send no copy of groups' records that lacks one of them

Callers would see writes that are acknowledged at a superseded primary and lost.

Cause: a copy of the records left out a group's record that is newer than all that the sender is certain to have, and with it the group's earlier change. The recipient took the copy for complete up to another group's record, and could renew its lease although it had missed the earlier change.

Change: if one group's record has to be left out, the copy has none.

Evidence: test_a_copy_of_records_hides_no_missed_promotion fails on the code before: the recipient was certain up to version 12, and had missed one of 9 or less.

--- a/packages/toucandeald/src/toucandeald/peer_copies.py
+++ b/packages/toucandeald/src/toucandeald/peer_copies.py
@@ -67,18 +67,24 @@
         """Return the records, without the proxies.
 
         Proxies read the list of proxies themselves. The recipient counts the
-        copy as complete up to its newest record, so it has no group's record
-        behind a gap.
+        copy as complete up to its newest record. If this proxy has a group's
+        record alone that is newer than all that it is certain to have, earlier
+        changes of that group are not known here, and the copy has no groups.
         """
         state = self._state
+        groups = {
+            key: row
+            for key, row in state.records.items()
+            if key.startswith(group_key(''))
+        }
+        has_gap = any(
+            row.version > state.records_version for row in groups.values()
+        )
         rows = [
             row
             for key, row in state.records.items()
             if not key.startswith(proxy_key(''))
-            and (
-                not key.startswith(group_key(''))
-                or row.version <= state.records_version
-            )
+            and not (has_gap and key in groups)
         ]
         return RecordsCopy(self._tables.name, _copies(rows))
 
--- a/packages/toucandeald/src/toucandeald/tests/test_missed_promotions.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_missed_promotions.py
@@ -5,6 +5,7 @@
 from toucandeal.fleet import GroupRecord
 from toucandeal.primary_lease import LEASE_DURATION_S, may_use_primary
 from toucandeald.fleet_wire import PromotionBegun, RowCopy
+from toucandeald.peer_copies import shared_rows
 from toucandeald.shared_records import encode_group, group_key
 from toucandeald.tests.simulated_fleet import GROUPS, settled_fleet
 
@@ -103,6 +104,25 @@
     assert max(used_at, default=begun_at) < begun_at + LEASE_DURATION_S
 
 
+def test_a_copy_of_records_hides_no_missed_promotion(fleet):
+    # Guards against acknowledged writes at a superseded primary: the record of
+    # a group that had begun to change again was left out of the copy, and the
+    # recipient took it for complete because of another group's record.
+    miss_promotion(fleet)
+    promote(fleet, OTHER)
+    fleet.run(0.7)
+    begin_promotion(fleet, MISSED, 'p0', ['p1'])
+    sender, recipient = fleet.proxies['p1'], fleet.proxies[ISOLATED]
+    begun = fleet.store.rows[group_key(MISSED)].version
+    while sender.state.records[group_key(MISSED)].version < begun:
+        fleet.run(0.001, step_s=0.001)
+    assert sender.state.records_version < begun
+    complete = recipient.state.records_version
+    rows = shared_rows(sender.gossip._copies.records_copy().rows)
+    recipient.state.apply_records_copy(rows)
+    assert recipient.state.records_version == complete
+
+
 def test_a_copy_of_records_lacks_those_behind_a_gap(fleet):
     # Guards against a proxy that passes its own gap on with a copy.
     miss_promotion(fleet)
