Count a transaction as failed whatever the reason

Callers would see statements run after their transaction was rolled back, if a server answered COMPLETE outside the transaction, without a reason.

Cause: the text of the reason was also the mark of a failed transaction. Change: no failure is None. test_a_failure_without_a_reason_is_one fails on the code before.

--- a/packages/toucandeal/src/toucandeal/caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/caller_sessions.py
@@ -126,7 +126,7 @@
         self.connection = None
         self.placement = None
         self.wrote = False
-        self.failure = ''
+        self.failure: str | None = None
 
 
 class CallerSession:
@@ -163,7 +163,7 @@
         """Return ``idle``, ``open`` or ``failed``, the transaction's state."""
         if self.transaction is None:
             return 'idle'
-        return 'failed' if self.transaction.failure else 'open'
+        return 'open' if self.transaction.failure is None else 'failed'
 
 
 def exceeds_state_limit(
--- a/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_caller_sessions.py
@@ -11,6 +11,7 @@
     CONNECTION_LIMIT_BYTES,
     CallerSession,
     ConnectionState,
+    OpenTransaction,
     PreparedShape,
     PrepareShape,
     ResetSession,
@@ -19,6 +20,7 @@
     setup_steps,
     shape_name,
 )
+from toucandeal.fleet import Route, RouteKind
 
 READ = PreparedShape('q1', False)
 WRITE = PreparedShape('q1', True)
@@ -81,6 +83,17 @@
     assert setup_steps(connection_state, {}, [READ], limit_bytes=1) == []
 
 
+def test_a_failure_without_a_reason_is_one():
+    # Guards against a transaction that goes on after it was rolled back,
+    # because the server had given no reason.
+    session = CallerSession(1, 'db')
+    route = Route('db', 'g', RouteKind.PRIMARY, 0.8, 0.1)
+    session.transaction = OpenTransaction(route, read_only=False, began_at=0.0)
+    assert session.state == 'open'
+    session.transaction.failure = ''
+    assert session.state == 'failed'
+
+
 def test_a_session_without_a_transaction_is_idle():
     session = CallerSession(1, 'db')
     assert session.state == 'idle'
