Begin no promotion before peers are heard that count this proxy

Callers could see writes lost that were acknowledged at a superseded primary.

A proxy that was marked as silent and registers again took heartbeats from before, which count the earlier registration, and began a promotion at once while it heard nobody.

Change: only heartbeats that were heard after the registration count.

Evidence: test_a_proxy_that_registers_again_has_to_be_heard_by_its_peers fails on the code before, where the proxy holds the lock within the first second.

--- a/packages/toucandeald/src/toucandeald/promoter.py
+++ b/packages/toucandeald/src/toucandeald/promoter.py
@@ -243,7 +243,10 @@
         counted_by = {
             peer.name
             for peer in self._tables.peers.values()
-            if peer.counts_this_proxy and peer.store_era == primary_lease.era
+            if peer.counts_this_proxy
+            and peer.store_era == primary_lease.era
+            # An earlier heartbeat counts an earlier registration.
+            and peer.heard_at >= primary_lease.joined_at
         }
         now = steady_seconds()
         if not may_begin_promotion(primary_lease, counted_by, now):
--- a/packages/toucandeald/src/toucandeald/tests/test_promoter.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_promoter.py
@@ -400,6 +400,23 @@
     fleet.check()
 
 
+def test_a_proxy_that_registers_again_has_to_be_heard_by_its_peers(fleet):
+    # Guards against a promotion while a peer may have a lease that does not
+    # depend on this proxy: it had been marked as silent, registered again, and
+    # took the last heartbeats of before for the present ones.
+    others = ('p0', 'p1', 'p2')
+    fleet.cut |= {(name, 'p3') for name in others}
+    fleet.cut |= {('p3', name) for name in others}
+    lease = fleet.proxies['p3'].tables.primary_lease
+    joined_at = lease.joined_at
+    fleet.run_until(lambda: lease.joined_at != joined_at)
+    fleet.run_until(lambda: lease.joined_at < fleet.clock.now)
+    fleet.replace_primary('p3', FIRST)
+    begun = []
+    fleet.run(1.0, lambda: begun.append(fleet.lock_holder()))
+    assert not any(begun)
+
+
 def leaders_while_recorded(fleet, server, seconds, **options):
     """Run a fleet; return who led while a server was the recorded primary."""
     leaders = set()
