Take no check of a primary during a freeze as evidence

Cause: a check that was under way times out after the freeze, before the answer is read. The healthy primary then counts as unreachable since the start of the check, so the time until a promotion has passed at once, and the contacts of peers are too old to object.

Change: a check that took longer than its time-outs allow is disregarded, and the silence counts from the next one. The second of two such checks in a row counts, so a slow machine finds a dark primary as before.

Why this works: what the time-outs measured is the standstill of the process. The next check is made while it runs.

Evidence: test_a_check_that_times_out_in_a_freeze_is_no_evidence and test_a_server_found_unreachable_before_a_freeze_is_checked_again fail on the code before. A check of a process that runs is handled as before, so failed primaries are found at the same time.

--- a/packages/toucandeald/src/toucandeald/primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/primary_watch.py
@@ -27,6 +27,7 @@
 SILENCE_S = 0.2  # of a server with requests in flight, before it is checked
 CHECK_TIMEOUT_S = 0.3  # for a handshake and a report of a healthy server
 CHECK_RETRY_DELAY_S = 0.1
+MAX_CHECK_S = 3 * CHECK_TIMEOUT_S  # of a process that runs
 
 
 class PrimaryWatch:
@@ -102,18 +103,35 @@
 
     async def _check(self, server: Server) -> None:
         began_at = steady_seconds()
+        checked_at = began_at
+        is_late = False
         try:
             while await self._is_silent(server):
-                load = server_load(self._tables, server.name)
-                if load.unreachable_since is None:
-                    load.unreachable_since = began_at
-                    log_event('unreachable', server=server.name)
+                now = steady_seconds()
+                # The time-outs of a process that stood still say nothing of
+                # the server. On a slow machine the second check counts.
+                is_late = not is_late and now - checked_at > MAX_CHECK_S
+                if is_late:
+                    began_at = now
+                self._record_silence(server, began_at, is_late=is_late)
                 if not self._is_primary(server):
                     break
                 await pause(self._clock, CHECK_RETRY_DELAY_S)
+                checked_at = steady_seconds()
         finally:
             self._checking.discard(server.name)
 
+    def _record_silence(
+        self, server: Server, began_at: float, *, is_late: bool
+    ) -> None:
+        load = server_load(self._tables, server.name)
+        if is_late:
+            load.unreachable_since = None
+            log_event('check disregarded', server=server.name)
+        elif load.unreachable_since is None:
+            load.unreachable_since = began_at
+            log_event('unreachable', server=server.name)
+
     def _is_primary(self, server: Server) -> bool:
         record = group_state(self._tables, server.group).record
         return record is not None and record.primary == server.name
--- a/packages/toucandeald/src/toucandeald/tests/test_primary_watch.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_primary_watch.py
@@ -9,6 +9,7 @@
 from toucandeal.fleet_tables import (
     apply_record,
     note_not_leading,
+    server_load,
     usable_primary,
 )
 from toucandeal.positions import LogPosition
@@ -29,6 +30,8 @@
     )
     for is_primary in (False, True)
 )
+LOST = ServerAnswer(AnswerKind.LOST, [], '', '')
+FREEZE_S = 5.0
 
 
 @contextlib.contextmanager
@@ -63,6 +66,19 @@
         """Deliver the answer that the server leads."""
         self._answers.pop().callback(CLAIM)
 
+    def time_out(self):
+        """End the check that is pending without an answer."""
+        self._answers.pop().callback(LOST)
+
+    def check_again(self):
+        """Let the time before the next check pass."""
+        self._clock.advance(0.1)
+
+    @property
+    def unreachable_since(self):
+        """Return since when the server counts as unreachable."""
+        return server_load(self.tables, 'a').unreachable_since
+
     def deny_otherwise(self):
         """Deliver, a moment later, an earlier denial in another answer."""
         self._clock.advance(0.1)
@@ -151,3 +167,41 @@
         assert check.tick() == 1
         check.claim()
         assert check.is_usable()
+
+
+def test_a_check_that_times_out_in_a_freeze_is_no_evidence():
+    # Guards against a needless promotion: the healthy primary counted as
+    # unreachable since before the freeze.
+    with running_clock() as clock:
+        check = PendingCheck(clock)
+        clock.advance(FREEZE_S)
+        check.time_out()
+        assert check.unreachable_since is None
+        check.check_again()
+        check.time_out()
+        assert check.unreachable_since >= NOW + FREEZE_S
+
+
+def test_a_server_found_unreachable_before_a_freeze_is_checked_again():
+    # Guards against the same where the server recovers during the freeze.
+    with running_clock() as clock:
+        check = PendingCheck(clock)
+        check.time_out()
+        assert check.unreachable_since == NOW
+        check.check_again()
+        clock.advance(FREEZE_S)
+        check.time_out()
+        assert check.unreachable_since is None
+
+
+def test_checks_of_a_slow_process_find_a_dark_primary():
+    # Guards against a group without a primary: each check of a slow machine
+    # takes longer than its time-outs.
+    with running_clock() as clock:
+        check = PendingCheck(clock)
+        clock.advance(FREEZE_S)
+        check.time_out()
+        check.check_again()
+        clock.advance(FREEZE_S)
+        check.time_out()
+        assert check.unreachable_since is not None
