Count a server's drain time from when its entry was last followed

Cause: the drain time began when the proxy read that the server is leaving. The entry has no time, and may be old then: after a start, a cut from the store or a freeze.

Change: it begins at the last moment at which the proxy followed the list and the server was not leaving. Before the first answer of the store there is no such moment, so a server that was leaving already gets no operations; statements for its group wait for the promotion until their time-out.

Why this works: the server can't have reported that it leaves before that moment, so no operation is sent later than the drain time after the report. A proxy that follows the list counts up to two ticks more than before.

Evidence: the four new tests of test_server_list fail on the code before.

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -197,8 +197,8 @@
     `crossing_cost_s`, a constant factor decides which reads leave the failure
     domain. `replaces_registered` is whether an earlier process of this name
     was registered, and not silent, when this one started. A server that is
-    leaving may get operations for `drain_s`; `leaving_since` has the time at
-    which this proxy learned of it, by server.
+    leaving may get operations for `drain_s`; `leaving_since` has the earliest
+    time at which it may have begun to leave, by server.
     """
 
     def __init__(self, name: str, failure_domain: str) -> None:
--- a/packages/toucandeald/src/toucandeald/server_list.py
+++ b/packages/toucandeald/src/toucandeald/server_list.py
@@ -1,5 +1,6 @@
 """The list of servers, as the store and the peers report it."""
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -44,6 +45,22 @@
         self._decode = decode
         self._removed_at: dict[str, float] = {}
         self._held: dict[str, _HeldEntry] = {}
+        self._is_following = False
+        self._answered_at = -math.inf
+        self._ticked_at = -math.inf
+        self._followed_at = -math.inf
+
+    def note_followed(self) -> None:
+        """Note that the store has answered with all changes."""
+        self._is_following = True
+        self._answered_at = steady_seconds()
+        self._ticked_at = self._answered_at
+        self._followed_at = self._answered_at
+
+    def note_interrupted(self) -> None:
+        """Note that the store gives no answer, so changes may be missed."""
+        self._is_following = False
+        self._followed_at = self._answered_at
 
     def tick(self, now: float) -> None:
         """Drop servers whose entries were removed `REMOVAL_DELAY_S` ago.
@@ -51,6 +68,10 @@
         Also apply the entries that were held back as outdated and have not
         been replaced.
         """
+        if self._is_following:
+            # After a freeze, changes may still be unread at the first tick.
+            self._followed_at = self._ticked_at
+            self._ticked_at = now
         for name, removed_at in list(self._removed_at.items()):
             if now - removed_at >= REMOVAL_DELAY_S:
                 self._removed_at.pop(name)
@@ -125,7 +146,10 @@
             )
         server_load(self._tables, server.name)
         if server.leaving:
-            self._tables.leaving_since.setdefault(server.name, steady_seconds())
+            # It may have left at any time since the list was followed.
+            self._tables.leaving_since.setdefault(
+                server.name, self._followed_at
+            )
         else:
             self._tables.leaving_since.pop(server.name, None)
         if server != known:
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -375,6 +375,8 @@
                 version = await self._follow_once(table, version, apply)
             except StoreUnavailable as error:
                 log_event('feed lost', table=table, reason=str(error))
+                if table == self._shared.server_table:
+                    self.server_list.note_interrupted()
                 await pause(self._clock, retry_delay_s)
                 retry_delay_s = min(retry_delay_s * 2, MAX_RETRY_DELAY_S)
                 continue
@@ -409,6 +411,8 @@
         A row that is not a configuration is no version of it. It proves that
         there is no newer one, so a garbled write doesn't end the service.
         """
+        if table == self._shared.server_table:
+            self.server_list.note_followed()
         if table == self._shared.configuration_table:
             self.configuration.continue_from(version)
             prove_by_call(
--- a/packages/toucandeald/src/toucandeald/tests/test_server_list.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_list.py
@@ -4,7 +4,11 @@
 from twisted.internet.task import Clock
 
 from toucandeal.fleet import Server
-from toucandeal.fleet_tables import FleetTables, accepts_operations
+from toucandeal.fleet_tables import (
+    DRAIN_MARGIN_S,
+    FleetTables,
+    accepts_operations,
+)
 from toucandeal.store_versions import StoreVersion
 from toucandeald.server_list import (
     OUTDATED_ENTRY_S,
@@ -39,6 +43,7 @@
     servers.apply_snapshot(
         [_row('a', 1, 3), _row('b', 1, 4)], StoreVersion(1, 9)
     )
+    servers.note_followed()
     return servers
 
 
@@ -133,3 +138,53 @@
     assert not accepts_operations(tables, 'a', clock.seconds() + 2)
     servers.apply_changes([_row('a', 1, 12)])
     assert accepts_operations(tables, 'a', clock.seconds() + 2)
+
+
+def test_a_server_that_was_leaving_before_this_proxy_started_gets_none(clock):
+    # Guards against operations after the drain time at a leaving primary: the
+    # proxy counted it from its own start.
+    tables = FleetTables('p1', 'd')
+    tables.drain_s = 7.0
+    servers = ServerList(tables, _decode)
+    servers.apply_snapshot([_row('a', 1, 3, b'leaving')], StoreVersion(1, 9))
+    servers.note_followed()
+    assert not accepts_operations(tables, 'a', clock.seconds())
+
+
+def test_a_server_may_leave_while_the_store_gives_no_answer(servers, clock):
+    # Guards against the same after a cut from the store.
+    servers._tables.drain_s = 7.0
+    clock.advance(2)
+    servers.tick(clock.seconds())
+    servers.note_interrupted()
+    clock.advance(2)
+    servers.tick(clock.seconds())
+    assert _counts_drain_time_from(servers, clock, 4)
+
+
+def test_a_server_may_leave_during_a_freeze(servers, clock):
+    # Guards against the same after a freeze of the process.
+    servers._tables.drain_s = 7.0
+    clock.advance(4)
+    servers.tick(clock.seconds())
+    assert _counts_drain_time_from(servers, clock, 4)
+
+
+def test_the_drain_time_of_a_followed_entry_begins_when_it_changes(
+    servers, clock
+):
+    servers._tables.drain_s = 7.0
+    for _ in range(40):
+        servers.tick(clock.seconds())
+        clock.advance(0.1)
+    assert _counts_drain_time_from(servers, clock, 0.2)
+
+
+def _counts_drain_time_from(servers, clock, elapsed_s):
+    """Return whether a leaving entry counts as `elapsed_s` old."""
+    servers.apply_changes([_row('a', 1, 10, b'leaving')])
+    servers.note_followed()
+    ends_at = clock.seconds() + 7.0 - DRAIN_MARGIN_S - elapsed_s
+    return accepts_operations(
+        servers._tables, 'a', ends_at - 0.01
+    ) and not accepts_operations(servers._tables, 'a', ends_at + 0.01)
