--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -85,6 +85,7 @@
         self.ports: dict[str, list[int]] = {}
         self.bounds: dict[str, dict] = {}
         self.store = ''
+        self.store_links: dict[str, str] = {}
 
     def spawn(self, name: str, words: list[str], **extra: str):
         log = (self.folder / f'{name}.log').open('ab')
@@ -121,7 +122,7 @@
             front=ports[0],
             ready=ports[1],
             peers=ports[2],
-            store=self.store,
+            store=self.store_links.get(name, self.store),
             bootstrap=str(first).lower(),
             bounds='\n'.join(
                 f'{key} = {json.dumps(bound)}'
