--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -4,6 +4,7 @@
 the repository, with `target/deps` on Python's path.
 """
 
+import base64
 import contextlib
 import json
 import os
@@ -19,6 +20,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = '127.0.0.1'
+PIPED = ('standins', 'other')  # their first line is read
 SETTINGS = """
 nodeName = "{name}"
 role = "proxy"
@@ -30,7 +32,7 @@
 internalPorts = [{peers}, {peers}]
 bootstrap = {bootstrap}
 heartbeatMs = 1200
-[listenAddrs]
+{contracts}[listenAddrs]
 front = "{host}:{front}"
 ready = "{host}:{ready}"
 [limits]
@@ -85,6 +87,7 @@
         self.ports: dict[str, list[int]] = {}
         self.bounds: dict[str, dict] = {}
         self.store = ''
+        self.contracts = ''
         self.store_links: dict[str, str] = {}
 
     def spawn(self, name: str, words: list[str], **extra: str):
@@ -94,7 +97,7 @@
             cwd=ROOT,
             env=environment(**extra),
             stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE if name == 'standins' else log,
+            stdout=subprocess.PIPE if name in PIPED else log,
             stderr=log,
         )
         log.close()
@@ -110,6 +113,15 @@
         )
         self.store = json.loads(process.stdout.readline())['store']
 
+    def start_other_server(self, service: str, name: str, entries: int) -> str:
+        process = self.spawn(
+            'other',
+            [sys.executable, '-S']
+            + [str(ROOT / 'review/harness-3/other_server.py')]
+            + [service, name, str(entries)],
+        )
+        return process.stdout.readline().decode().strip()
+
     def write_settings(self, name: str, **changed) -> pathlib.Path:
         """Write a proxy's settings, with some of the bounds changed."""
         first = name not in self.ports
@@ -122,6 +134,7 @@
             front=ports[0],
             ready=ports[1],
             peers=ports[2],
+            contracts=self.contracts,
             store=self.store_links.get(name, self.store),
             bootstrap=str(first).lower(),
             bounds='\n'.join(
@@ -172,6 +185,13 @@
         connection.close()
         return answer
 
+    def put_configuration(self, configuration: dict) -> float:
+        """Write `op/config`, as the operator does; return when it was accepted."""
+        content = base64.b64encode(json.dumps(configuration).encode()).decode()
+        put = {'table': 'op', 'part': '', 'key': 'config', 'value': content}
+        self.command('/toucandeal/rows-tx', {'puts': [put]})
+        return time.monotonic()
+
     def stop(self) -> None:
         for process in self.processes.values():
             if process.poll() is None:
@@ -192,11 +212,13 @@
 class Session:
     """A client's session; `reply` is None if the connection ended first."""
 
-    def __init__(self, address, database: str, timeout_s: float = 12.0):
+    def __init__(
+        self, address, database: str, key: str = 'client', timeout_s: float = 12.0
+    ) -> None:
         self.socket = socket.create_connection(address, timeout_s)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._file = self.socket.makefile('rb')
-        self.socket.sendall(f'STARTUP {database} client\r\n'.encode())
+        self.socket.sendall(f'STARTUP {database} {key}\r\n'.encode())
         self.opened = self._reply()
 
     def query(self, identity: str, text: str) -> list[str] | None:
