--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -213,6 +213,8 @@
 @contextlib.contextmanager
 def deployment(folder: pathlib.Path):
     running = Deployment(folder)
+    # A run that is ended from outside ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         yield running
     finally:
