Require keys after the last workspace is removed

Cause: an empty collection stood for two things, a deployment without workspaces and one that has lost its last. session_workspace, the division of pools, the choice of lenders and the counts of replies tested for emptiness, and the adapter decoded a missing list as an empty one.

Change: FleetConfiguration.workspaces is None in a deployment without workspaces. The settings (contracts) or the presence of the list say that there are workspaces, and apply_configuration decides it once for all; if they differ, keys are needed and 'workspaces unclear' is logged. Blank keys and keys of several workspaces identify nobody. A lender refuses loans for callers without a workspace where no route is public, as a borrower of the build before asks for them.

Ruled out: a configuration that is not applied (version 3 is in force), and open sessions that a removal does not reach (new sessions are let in as well). A flag that remembers workspaces would miss a restarted proxy, and an empty list that is the first configuration.

Changed tests: the rows of test_a_session_runs_in_the_workspace_of_its_key, test_without_workspaces_any_key_opens_a_session and test_without_workspaces_reads_have_no_affinity that meant "no workspaces" by an empty mapping say None now; the empty mapping has rows of its own, which refuse.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/proxies.py
@@ -285,12 +285,12 @@
         },
         IDLE_TRANSACTION_S,
         workspaces,
-        {key_digest(name): name for name in workspaces},
+        {key_digest(name): name for name in workspaces or ()},
     )
 
 
-def _workspaces(deployment: Deployment) -> dict[str, Workspace]:
+def _workspaces(deployment: Deployment) -> dict[str, Workspace] | None:
     if not deployment.workspaces:
-        return {}
+        return None
     names = map(str, range(deployment.members))
     return {name: Workspace(name) for name in names}
--- a/packages/toucandeal/src/toucandeal/fleet.py
+++ b/packages/toucandeal/src/toucandeal/fleet.py
@@ -24,6 +24,8 @@
     'Server',
     'Verb',
     'Statement',
+    'find_workspace',
+    'has_public_route',
     'session_workspace',
     'parse_position',
     'format_position',
@@ -68,26 +70,34 @@
     """One version of the configuration that operators declare.
 
     `key_workspaces` maps the digest of each key to the name of its workspace.
-    Without workspaces, callers need no key and have no limits.
+    `workspaces` is None in a deployment without workspaces, whose callers need
+    no key. A deployment that has lost its last workspace serves public routes
+    only.
     """
 
     version: int
     routes: dict[str, Route]
     groups: dict[str, InteractiveGroup]
     idle_transaction_s: float
-    workspaces: Mapping[str, Workspace] = MappingProxyType({})
+    workspaces: Mapping[str, Workspace] | None = None
     key_workspaces: Mapping[bytes, str] = MappingProxyType({})
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Return whether callers are told apart by their keys."""
+        return self.workspaces is not None
+
 
 def session_workspace(
     configuration: FleetConfiguration, database: str, digest: bytes
 ) -> str | None:
     """Return the workspace of a session, or None if it must be refused.
 
-    Without workspaces no key is needed, and the workspace is empty. A database
-    that has no route any more counts as one that is not public.
+    In a deployment without workspaces no key is needed, and the workspace is
+    empty. A database that has no route any more counts as one that is not
+    public.
     """
-    if not configuration.workspaces:
+    if not configuration.has_workspaces:
         return ''
     route = configuration.routes.get(database)
     return workspace_of(
@@ -97,6 +107,29 @@
     )
 
 
+def find_workspace(
+    configuration: FleetConfiguration | None, name: str
+) -> Workspace | None:
+    """Return a declared workspace, or None.
+
+    Examples
+    --------
+    >>> find_workspace(FleetConfiguration(1, {}, {}, 3.0), 'north') is None
+    True
+    """
+    if configuration is None or configuration.workspaces is None:
+        return None
+    return configuration.workspaces.get(name)
+
+
+def has_public_route(configuration: FleetConfiguration, group: str) -> bool:
+    """Return whether callers without a valid key may use a group."""
+    return not configuration.has_workspaces or any(
+        route.is_public and route.group == group
+        for route in configuration.routes.values()
+    )
+
+
 class Server(NamedTuple):
     """A server as it registers itself; `born_ms` differs after a restart."""
 
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -198,7 +198,8 @@
     domain. `replaces_registered` is whether an earlier process of this name
     was registered, and not silent, when this one started. A server that is
     leaving may get operations for `drain_s`; `leaving_since` has the earliest
-    time at which it may have begun to leave, by server.
+    time at which it may have begun to leave, by server. `requires_keys` is
+    whether the settings say that the deployment has workspaces.
     """
 
     def __init__(self, name: str, failure_domain: str) -> None:
@@ -218,6 +219,7 @@
         self.crossing_cost_s: float | None = None
         self.drain_s = math.inf
         self.leaving_since: dict[str, float] = {}
+        self.requires_keys = False
 
 
 def group_state(tables: FleetTables, name: str) -> GroupState:
@@ -240,10 +242,16 @@
 def apply_configuration(
     tables: FleetTables, update: FleetConfiguration
 ) -> bool:
-    """Put a configuration in force unless it is outdated."""
+    """Put a configuration in force unless it is outdated.
+
+    If the settings or the configuration say that there are workspaces, callers
+    need keys.
+    """
     current = tables.configuration
     if current is not None and update.version <= current.version:
         return False
+    if tables.requires_keys and not update.has_workspaces:
+        update = update._replace(workspaces={})
     tables.configuration = update
     return True
 
--- a/packages/toucandeal/src/toucandeal/placement.py
+++ b/packages/toucandeal/src/toucandeal/placement.py
@@ -215,7 +215,7 @@
         if primary is None:
             return _refuse_without_primary(tables, group, now)
         return Refusal('no server gives an answer', UNAVAILABLE_RETRY_S)
-    if workspace and tables.configuration.workspaces:
+    if workspace and tables.configuration.has_workspaces:
         costs = _with_affinity(costs, primary, workspace)
     choice = choose_server(
         tables,
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -211,7 +211,7 @@
 def _with_workspaces(names):
     tables = new_tables()
     tables.configuration = tables.configuration._replace(
-        workspaces={name: Workspace(name) for name in names}
+        workspaces={name: Workspace(name) for name in names} or None
     )
     record_primary_position(tables, 7, NOW)
     for name in 'abc':
--- a/packages/toucandeal/src/toucandeal/tests/test_workspaces.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_workspaces.py
@@ -8,7 +8,8 @@
     RouteKind,
     session_workspace,
 )
-from toucandeal.workspaces import Workspace, key_digest
+from toucandeal.fleet_tables import FleetTables, apply_configuration
+from toucandeal.workspaces import Workspace, key_digest, key_workspaces
 
 
 def _configuration(keys):
@@ -21,8 +22,10 @@
         routes,
         {},
         1,
-        {name: Workspace(name) for name in keys},
-        {key_digest(key): name for name, held in keys.items() for key in held},
+        None if keys is None else {name: Workspace(name) for name in keys},
+        key_workspaces(
+            (name, key) for name, held in (keys or {}).items() for key in held
+        ),
     )
 
 
@@ -40,10 +43,20 @@
         # All keys removed: the workspace still requires one.
         ({'north': []}, 'keyed', 'a', None),
         ({'north': []}, 'open', 'a', ''),
-        # Without workspaces, every caller is served as before.
-        ({}, 'keyed', 'a', ''),
-        ({}, 'keyed', '', ''),
-        ({}, 'removed route', 'a', ''),
+        # All workspaces removed: keys are still required.
+        ({}, 'keyed', 'a', None),
+        ({}, 'keyed', '', None),
+        ({}, 'removed route', 'a', None),
+        ({}, 'open', 'a', ''),
+        # A key that several workspaces hold, and blank ones, identify nobody.
+        ({'north': ['a'], 'south': ['a']}, 'keyed', 'a', None),
+        ({'north': ['a', 'a']}, 'keyed', 'a', 'north'),
+        ({'north': ['']}, 'keyed', '', None),
+        ({'north': [' ']}, 'keyed', ' ', None),
+        # In a deployment without workspaces no key is needed.
+        (None, 'keyed', 'a', ''),
+        (None, 'keyed', '', ''),
+        (None, 'removed route', 'a', ''),
     ],
 )
 def test_a_session_runs_in_the_workspace_of_its_key(
@@ -51,3 +64,27 @@
 ):
     found = session_workspace(_configuration(keys), database, key_digest(key))
     assert found == workspace
+
+
+@pytest.mark.parametrize(
+    ('requires_keys', 'keys', 'workspace'),
+    [
+        (False, None, ''),
+        (False, {}, None),
+        (True, None, None),
+        (True, {}, None),
+        (True, {'north': ['a']}, 'north'),
+    ],
+)
+def test_keys_are_needed_if_the_settings_or_the_configuration_say_so(
+    requires_keys, keys, workspace
+):
+    # Guards against sessions without a valid key once the last workspace goes.
+    tables = FleetTables('p1', 'd')
+    tables.requires_keys = requires_keys
+    apply_configuration(tables, _configuration(keys))
+    found = session_workspace(tables.configuration, 'keyed', key_digest('a'))
+    assert found == workspace
+    assert tables.configuration.has_workspaces == (
+        requires_keys or keys is not None
+    )
--- a/packages/toucandeal/src/toucandeal/workspaces.py
+++ b/packages/toucandeal/src/toucandeal/workspaces.py
@@ -5,10 +5,10 @@
 """
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-__all__ = ['Workspace', 'key_digest', 'workspace_of']
+__all__ = ['Workspace', 'key_digest', 'key_workspaces', 'workspace_of']
 
 
 class Workspace(NamedTuple):
@@ -43,6 +43,34 @@
     return hashlib.sha256(key.encode()).digest()
 
 
+def key_workspaces(held_keys: Iterable[tuple[str, str]]) -> dict[bytes, str]:
+    """Return the workspace of each key, by the key's digest.
+
+    A blank key identifies no workspace, and neither does one that several
+    workspaces hold.
+
+    Parameters
+    ----------
+    held_keys : iterable of (str, str)
+        Names of workspaces, each with a key that it holds.
+
+    Examples
+    --------
+    >>> held = [('north', 'a'), ('north', ''), ('north', 'b'), ('south', 'b')]
+    >>> key_workspaces(held) == {key_digest('a'): 'north'}
+    True
+    """
+    holders: dict[bytes, set[str]] = {}
+    for workspace, key in held_keys:
+        if key.strip():
+            holders.setdefault(key_digest(key), set()).add(workspace)
+    return {
+        digest: next(iter(names))
+        for digest, names in holders.items()
+        if len(names) == 1
+    }
+
+
 def workspace_of(
     key_workspaces: Mapping[bytes, str],
     digest: bytes,
--- a/packages/toucandeald/src/toucandeald/borrowing.py
+++ b/packages/toucandeald/src/toucandeald/borrowing.py
@@ -242,11 +242,11 @@
             return [tables.name]
         limit = configuration.groups[server.group].connection_limit
         in_large_fleet = tables.relay_assignment is not None
-        if not (in_large_fleet or configuration.workspaces):
+        if not (in_large_fleet or configuration.has_workspaces):
             counted = counted_proxies(tables.primary_lease) | {tables.name}
             return lenders(server.name, counted, limit)
         selection = (
-            domain_lenders if configuration.workspaces else spread_lenders
+            domain_lenders if configuration.has_workspaces else spread_lenders
         )
         return self._lenders_of_domains(server.name, limit, selection)
 
@@ -288,7 +288,7 @@
         lender_names = self.lender_names(server)
         configuration = self._tables.configuration
         is_lender = self._tables.name in lender_names
-        divided = configuration is not None and bool(configuration.workspaces)
+        divided = configuration is not None and configuration.has_workspaces
         if is_lender and not divided:
             return OPEN_DIRECTLY
         now = steady_seconds()
--- a/packages/toucandeald/src/toucandeald/fleet_app.py
+++ b/packages/toucandeald/src/toucandeald/fleet_app.py
@@ -123,6 +123,7 @@
     tables = FleetTables(settings.name, settings.failure_domain)
     tables.crossing_cost_s = settings.crossing_cost_s
     tables.drain_s = settings.drain_s
+    tables.requires_keys = settings.requires_keys
     metrics = PrometheusMetrics()
     state = SharedState(reactor, tables, ports.store, ports.shared, own)
     gossip = Gossip(tables, state, own)
--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -72,6 +72,9 @@
         Memory at which the process is killed, in MB; None if it is not known.
     drain_s : float
         How long a server that is leaving may get operations.
+    requires_keys : bool
+        Whether the deployment has workspaces, also if the configuration lists
+        none, so that callers need keys on routes that are not public.
     """
 
     name: str
@@ -88,3 +91,4 @@
     link_mbps: float | None = None
     drain_s: float = math.inf
     memory_mb: float | None = None
+    requires_keys: bool = False
--- a/packages/toucandeald/src/toucandeald/held_configuration.py
+++ b/packages/toucandeald/src/toucandeald/held_configuration.py
@@ -63,7 +63,16 @@
                 version=configuration.version,
                 routes=len(configuration.routes),
                 groups=len(configuration.groups),
+                keys=len(configuration.key_workspaces),
             )
+            if configuration.has_workspaces != self._tables.requires_keys:
+                # Callers need keys if either of them says so.
+                log_event(
+                    'workspaces unclear',
+                    version=configuration.version,
+                    in_settings=self._tables.requires_keys,
+                    in_configuration=configuration.has_workspaces,
+                )
             self.on_change()
         return True
 
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -4,7 +4,7 @@
 
 from toucandeal.caller_sessions import SetupStep
 from toucandeal.connection_workspaces import ANY_WORKSPACE
-from toucandeal.fleet import ProxyRecord, Server
+from toucandeal.fleet import ProxyRecord, Server, has_public_route
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.statement_queue import ConnectionRequest
 from toucandeald.background_tasks import run_in_background
@@ -125,7 +125,7 @@
         requested_at = steady_seconds()
         server = self._tables.servers.get(loan_request.server)
         connection = None
-        lends = self.accepts_work and server is not None
+        lends = self._may_lend_to(server, loan_request)
         if lends and may_lend(self._pools.pool(server)):
             connection = await self._pools.pool(server).acquire(
                 {}, [], _connection_request(loan_request)
@@ -166,6 +166,23 @@
             ),
         )
 
+    def _may_lend_to(
+        self, server: Server | None, loan_request: LoanRequest
+    ) -> bool:
+        """Return whether a connection may be lent for a request.
+
+        A proxy of an earlier build serves callers without a valid key once the
+        last workspace is removed.
+        """
+        if server is None or not self.accepts_work:
+            return False
+        configuration = self._tables.configuration
+        return (
+            loan_request.workspace != ''
+            or configuration is None
+            or has_public_route(configuration, server.group)
+        )
+
     async def _forward_request(
         self, key: LoanKey, forwarded: BorrowedRequest
     ) -> None:
--- a/packages/toucandeald/src/toucandeald/placement_waits.py
+++ b/packages/toucandeald/src/toucandeald/placement_waits.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from toucandeal.fleet import find_workspace
 from toucandeal.fleet_tables import accepts_operations
 from toucandeal.placement import Placement, Refusal, useful_wait_s
 from toucandeald.admission import KEY_CHANGED, holds_workspace
@@ -76,8 +77,9 @@
     All that wait for a promotion are sent at its end, in addition to those that
     the rate allows then.
     """
-    workspaces = context.tables.configuration.workspaces
-    workspace = workspaces.get(call.session.workspace)
+    workspace = find_workspace(
+        context.tables.configuration, call.session.workspace
+    )
     return workspace is not None and workspace.rate_per_s is not None
 
 
--- a/packages/toucandeald/src/toucandeald/rate_coordinator.py
+++ b/packages/toucandeald/src/toucandeald/rate_coordinator.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from toucandeal.fleet import ProxyRecord
+from toucandeal.fleet import ProxyRecord, find_workspace
 from toucandeal.fleet_tables import FleetTables
 from toucandeal.primary_lease import evidence_as_of
 from toucandeal.rate_limits import (
@@ -350,7 +350,7 @@
 def limited_workspaces(tables: FleetTables) -> dict[str, Workspace]:
     """Return the workspaces of the configuration in force with a rate."""
     configuration = tables.configuration
-    if configuration is None:
+    if configuration is None or configuration.workspaces is None:
         return {}
     return {
         name: workspace
@@ -361,10 +361,7 @@
 
 def rate_limit(tables: FleetTables, name: str) -> Workspace | None:
     """Return a workspace of the configuration in force if it has a rate."""
-    configuration = tables.configuration
-    if configuration is None:
-        return None
-    workspace = configuration.workspaces.get(name)
+    workspace = find_workspace(tables.configuration, name)
     if workspace is None or workspace.rate_per_s is None:
         return None
     return workspace
--- a/packages/toucandeald/src/toucandeald/server_pools.py
+++ b/packages/toucandeald/src/toucandeald/server_pools.py
@@ -112,7 +112,7 @@
     def _divided(self) -> bool:
         """Return whether the configuration in force has workspaces."""
         configuration = self._tables.configuration
-        return configuration is not None and bool(configuration.workspaces)
+        return configuration is not None and configuration.has_workspaces
 
     def pool(self, server: Server) -> ConnectionPool:
         """Return the pool of a server at its current address and start."""
--- a/packages/toucandeald/src/toucandeald/session_service.py
+++ b/packages/toucandeald/src/toucandeald/session_service.py
@@ -229,7 +229,7 @@
     def _count_by_workspace(
         self, session: CallerSession, answer: CallerReply
     ) -> None:
-        if self._tables.configuration.workspaces:
+        if self._tables.configuration.has_workspaces:
             self._metrics.workspaces.count(
                 session.workspace, answer.cause or answer.kind.value
             )
--- a/packages/toucandeald/src/toucandeald/tests/test_admission.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_admission.py
@@ -99,14 +99,16 @@
     def configure(self, version, keys):
         """Put a configuration in force, as the shared state does."""
         key_workspaces = {
-            key_digest(key): name for name, held in keys.items() for key in held
+            key_digest(key): name
+            for name, held in (keys or {}).items()
+            for key in held
         }
         configuration = FleetConfiguration(
             version,
             ROUTES,
             {},
             1.0,
-            {name: Workspace(name) for name in keys},
+            None if keys is None else {name: Workspace(name) for name in keys},
             key_workspaces,
         )
         assert apply_configuration(self.tables, configuration)
@@ -173,7 +175,7 @@
     """Neither the key nor the freshness matters then."""
     proxy = Proxy()
     with virtual_time(proxy.clock.seconds):
-        proxy.configure(1, {})
+        proxy.configure(1, None)
         connection = proxy.connect('anything')
         proxy.clock.advance(600)
         proxy.run(connection)
@@ -188,6 +190,16 @@
     assert connection.closed and not other.closed
 
 
+def test_removing_the_last_workspace_ends_its_sessions(proxy):
+    # Guards against statements with removed keys after the last workspace goes.
+    connection = proxy.connect('k')
+    proxy.configure(2, {})
+    assert connection.closed
+    for key in ('k', 'never held', ''):
+        refused = proxy.service.open('keyed', key)
+        assert refused.kind is ReplyKind.AUTHENTICATION_FAILED
+
+
 def test_a_running_statement_ends_before_its_session_is_closed(proxy):
     connection = proxy.connect()
     replies = proxy.run(connection)
--- a/packages/toucandeald/src/toucandeald/tests/test_workspace_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_workspace_loans.py
@@ -12,6 +12,8 @@
     FleetConfiguration,
     InteractiveGroup,
     ProxyRecord,
+    Route,
+    RouteKind,
     Server,
 )
 from toucandeal.fleet_tables import FleetTables, PeerView, server_load
@@ -408,3 +410,23 @@
     assert source != lender
     assert source == OPEN_DIRECTLY or source in fleet.proxies
     assert borrower.acquire('a').usable
+
+
+@pytest.mark.parametrize(
+    ('public', 'removed', 'lent'),
+    [(False, False, False), (True, False, True), (False, True, False)],
+)
+def test_a_loan_without_workspace_is_for_public_routes(
+    fleet, public, removed, lent
+):
+    # Guards against a borrower of an earlier build, which serves callers
+    # without a valid key once the last workspace is removed.
+    route = Route('db', 'g', RouteKind.PRIMARY, 1.0, 1.0, is_public=public)
+    for proxy in fleet.proxies.values():
+        proxy.tables.configuration = proxy.tables.configuration._replace(
+            routes={'db': route},
+            **({'workspaces': {}} if removed else {}),
+        )
+    connection = _borrower(fleet).acquire('')
+    assert isinstance(connection, BorrowedConnection) == lent
+    assert (connection is not None) == lent
