Serve a deployment whose configuration never had a list of workspaces

Cause: needs keys wherever the settings have the contract, also if no configuration has a list of workspaces.

Change: the list says that keys are needed, also an empty one. Under settings with the contract, a later version without a list does not take it back.

--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -244,13 +244,14 @@
 ) -> bool:
     """Put a configuration in force unless it is outdated.
 
-    If the settings or the configuration say that there are workspaces, callers
-    need keys.
+    A list of workspaces says that callers need keys, also an empty one. If the
+    settings say so too, a later version without a list does not take it back.
     """
     current = tables.configuration
     if current is not None and update.version <= current.version:
         return False
-    if tables.requires_keys and not update.has_workspaces:
+    had_workspaces = current is not None and current.has_workspaces
+    if tables.requires_keys and had_workspaces and not update.has_workspaces:
         update = update._replace(workspaces={})
     tables.configuration = update
     return True
--- a/packages/toucandeald/src/toucandeald/fleet_settings.py
+++ b/packages/toucandeald/src/toucandeald/fleet_settings.py
@@ -73,8 +73,8 @@
     drain_s : float
         How long a server that is leaving may get operations.
     requires_keys : bool
-        Whether the deployment has workspaces, also if the configuration lists
-        none, so that callers need keys on routes that are not public.
+        Whether the settings say that the deployment has workspaces, so that
+        callers need keys on routes that are not public.
     """
 
     name: str
--- a/packages/toucandeald/src/toucandeald/held_configuration.py
+++ b/packages/toucandeald/src/toucandeald/held_configuration.py
@@ -66,12 +66,12 @@
                 keys=len(configuration.key_workspaces),
             )
             if configuration.has_workspaces != self._tables.requires_keys:
-                # Callers need keys if either of them says so.
                 log_event(
                     'workspaces unclear',
                     version=configuration.version,
                     in_settings=self._tables.requires_keys,
                     in_configuration=configuration.has_workspaces,
+                    keys_needed=self._tables.configuration.has_workspaces,
                 )
             self.on_change()
         return True
