Count the drain time from the proof that a server was not leaving

Callers saw: connections to the store go silent, then a service is shut down.

Cause: the drain time was counted from the last moment at which the list was followed, and a call under way counted as following, although its connection may be silent. So the arrival of a peer's copy was taken for the time of the change.

Evidence: in the logs of the late proxies the entry comes 0.6 s after that of the others and before 'feed lost'.

Change: toucandeal.departures bounds the time of the report from both sides. An answer proves that the list was complete when its call was sent, or when its wait ended without a change. A call under way counts only for changes that it brings, while it can be waiting in the store. A copy carries the ages of both bounds; the later of the own proof and the peer's counts, and the earlier of two sights of one version. A peer of the build before sends no ages; the own proof counts then. Same cause: entries that lapse and come back, entries held back after a restoration, and lenders whose borrowers have not heard of the departure.

Changed tests: test_server_list notes calls and times of answers as the new functions want them; its bounds are as strict, and one is 0.05 s for 0.2 s.

Calls to the store are the same.

--- a/packages/toucandeal-standins/src/toucandeal_standins/fault_proxy.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/fault_proxy.py
@@ -5,7 +5,8 @@
 ``{"cut": true}`` closes open connections and refuses new ones,
 ``{"hold": true}`` keeps connections open but forwards no data,
 ``{"delay_ms": n}`` delays each direction, and ``{"lose_answers": true}``
-forwards requests but discards the responses.
+forwards requests but discards the responses. ``{"silence": true}`` lets the
+connections that are open now pass nothing any more, for good.
 """
 
 import click
@@ -35,6 +36,7 @@
         self._is_client = is_client
         self._pending: list[bytes] = []
         self.other: _Side | None = None
+        self.silent = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Connect to the upstream if this is the client side."""
@@ -65,7 +67,9 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Forward data, subject to the faults."""
         faults = self._owner.faults
-        if faults.hold or (faults.lose_answers and not self._is_client):
+        if self.silent or faults.hold:
+            return
+        if faults.lose_answers and not self._is_client:
             return
         if faults.delay_ms:
             reactor.callLater(faults.delay_ms / 1000, self._forward, data)
@@ -79,9 +83,11 @@
             self.other.transport.write(data)
 
     def connectionLost(self, reason=None) -> None:  # noqa: N802
-        """Close the opposite side too."""
+        """Close the opposite side too, unless the connection is silent."""
         del reason
         self._owner.client_sides.discard(self)
+        if self.silent:
+            return
         if self.other is not None and self.other.transport is not None:
             self.other.transport.loseConnection()
 
@@ -105,6 +111,13 @@
         )
         return endpoint.listen(factory)
 
+    def silence(self) -> None:
+        """Let the open connections pass nothing any more, in no direction."""
+        for side in self.client_sides:
+            side.silent = True
+            if side.other is not None:
+                side.other.silent = True
+
     def apply_faults(self, **changes) -> None:
         """Set faults; a cut closes the open connections."""
         current = msgspec.structs.asdict(self.faults)
@@ -124,7 +137,10 @@
 
     def control(connection, method, path, body):
         del connection, method, path
-        proxy.apply_faults(**msgspec.json.decode(body))
+        changes = msgspec.json.decode(body)
+        if changes.pop('silence', False):
+            proxy.silence()
+        proxy.apply_faults(**changes)
         return msgspec.structs.asdict(proxy.faults)
 
     proxy.listen(port)
--- a/packages/toucandeal/src/toucandeal/fleet_tables.py
+++ b/packages/toucandeal/src/toucandeal/fleet_tables.py
@@ -14,6 +14,7 @@
 )
 from toucandeal.backoff import Backoff
 from toucandeal.configuration_freshness import ConfigurationFreshness
+from toucandeal.departures import Departure
 from toucandeal.domain_crossing import NOT_CROSSING, Crossing
 from toucandeal.fleet import FleetConfiguration, GroupRecord, Server
 from toucandeal.positions import NOTHING_SEEN, LogPosition
@@ -197,9 +198,9 @@
     `crossing_cost_s`, a constant factor decides which reads leave the failure
     domain. `replaces_registered` is whether an earlier process of this name
     was registered, and not silent, when this one started. A server that is
-    leaving may get operations for `drain_s`; `leaving_since` has the earliest
-    time at which it may have begun to leave, by server. `requires_keys` is
-    whether the settings say that the deployment has workspaces.
+    leaving may get operations for `drain_s`; `departures` has the time at which
+    it began to leave, by server. `requires_keys` is whether the settings say
+    that the deployment has workspaces.
     """
 
     def __init__(self, name: str, failure_domain: str) -> None:
@@ -218,7 +219,7 @@
         self.relay_assignment: RelayAssignment | None = None
         self.crossing_cost_s: float | None = None
         self.drain_s = math.inf
-        self.leaving_since: dict[str, float] = {}
+        self.departures: dict[str, Departure] = {}
         self.requires_keys = False
 
 
@@ -366,8 +367,10 @@
 
     After the drain time it may end at any moment.
     """
-    since = tables.leaving_since.get(name, math.inf)
-    return now < since + tables.drain_s - DRAIN_MARGIN_S
+    departure = tables.departures.get(name)
+    if departure is None:
+        return True
+    return now < departure.earliest + tables.drain_s - DRAIN_MARGIN_S
 
 
 def usable_primary(tables: FleetTables, name: str, now: float) -> Server | None:
--- a/packages/toucandeal/src/toucandeal/tests/test_placement.py
+++ b/packages/toucandeal/src/toucandeal/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from toucandeal.departures import Departure
 from toucandeal.fleet import GroupRecord, RouteKind
 from toucandeal.fleet_tables import (
     apply_record,
@@ -70,9 +71,9 @@
     # Guards against requests at a leaving server that may end at any moment.
     tables = new_tables()
     tables.drain_s = 7.0
-    tables.leaving_since['a'] = NOW - 6
+    tables.departures['a'] = Departure(NOW - 6, NOW)
     assert place_write(tables, new_route(), NOW).server.name == 'a'
-    tables.leaving_since['a'] = NOW - 7
+    tables.departures['a'] = Departure(NOW - 7, NOW)
     assert isinstance(place_write(tables, new_route(), NOW), Refusal)
     assert isinstance(_read(tables), Refusal)
 
--- a/packages/toucandeald/src/toucandeald/fleet_wire.py
+++ b/packages/toucandeald/src/toucandeald/fleet_wire.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from toucandeal.departures import DepartureAges
 from toucandeal.positions import NOTHING_SEEN, LogPosition
 from toucandeal.relay_reports import RelaySummary
 from toucandeal.relays import NO_MEMBERSHIP
@@ -129,11 +130,16 @@
 
 
 class ServersCopy(msgspec.Struct, tag='s', array_like=True):
-    """The list of servers at a version of the store."""
+    """The list of servers at a version of the store.
+
+    `departures` are of the servers that are leaving, by name. A sender of an
+    earlier build sends none.
+    """
 
     sender: str
     version: StoreVersion
     rows: list[RowCopy]
+    departures: dict[str, DepartureAges] = {}
 
 
 class PromotionBegun(msgspec.Struct, tag='p', array_like=True):
--- a/packages/toucandeald/src/toucandeald/gossip.py
+++ b/packages/toucandeald/src/toucandeald/gossip.py
@@ -215,8 +215,11 @@
             case ConfigurationCopy() | CompressedConfiguration():
                 self._state.configuration.receive(message, self._state.era)
             case ServersCopy():
-                self._state.server_list.apply_snapshot(
-                    shared_rows(message.rows), message.version
+                self._state.server_list.apply_copy(
+                    shared_rows(message.rows),
+                    message.version,
+                    message.departures,
+                    self._sent_after(message.sender),
                 )
             case PromotionBegun():
                 self._state.apply_record(*shared_rows([message.record]))
@@ -263,9 +266,8 @@
             heartbeat.crossing_shares,
         )
         self._state.note_era(heartbeat.store_era)
-        sent_after = -math.inf
-        if heartbeat.echo_incarnation == self._own.incarnation:
-            sent_after = heartbeat.echo + heartbeat.echo_age
+        sent_after = self._sent_after(heartbeat.sender)
+        if math.isfinite(sent_after):
             self._renew_lease(heartbeat, sent_after)
         self._renew_freshness(heartbeat, sent_after)
         if isinstance(heartbeat, RelayHeartbeat):
@@ -278,6 +280,20 @@
             )
         self._copies.update_peer(heartbeat)
 
+    def _sent_after(self, peer: str) -> float:
+        """Return a time after which a peer sent its last heartbeat.
+
+        Messages that arrive after the heartbeat were sent after it. The time
+        is minus infinity if the peer has not heard this process yet.
+        """
+        heartbeat, _ = self._last_heartbeats.get(peer, (None, 0.0))
+        if (
+            heartbeat is None
+            or heartbeat.echo_incarnation != self._own.incarnation
+        ):
+            return -math.inf
+        return heartbeat.echo + heartbeat.echo_age
+
     def _renew_freshness(self, heartbeat: Heartbeat, sent_after: float) -> None:
         prove_by_peer(
             self._tables.configuration_freshness,
--- a/packages/toucandeald/src/toucandeald/lending.py
+++ b/packages/toucandeald/src/toucandeald/lending.py
@@ -5,7 +5,7 @@
 from toucandeal.caller_sessions import SetupStep
 from toucandeal.connection_workspaces import ANY_WORKSPACE
 from toucandeal.fleet import ProxyRecord, Server, has_public_route
-from toucandeal.fleet_tables import FleetTables
+from toucandeal.fleet_tables import FleetTables, accepts_operations
 from toucandeal.statement_queue import ConnectionRequest
 from toucandeald.background_tasks import run_in_background
 from toucandeald.full_servers import may_lend
@@ -22,7 +22,14 @@
 from toucandeald.logs import log_event
 from toucandeald.replies import withheld
 from toucandeald.server_pools import ServerPools, record_setup
-from toucandeald.session_messages import ReportStatus, RollBack, StepDown
+from toucandeald.session_messages import (
+    BeginTransaction,
+    Forward,
+    ReportStatus,
+    RollBack,
+    ServerRequest,
+    StepDown,
+)
 from toucandeald.steady_clock import steady_seconds
 
 __all__ = ['Lending']
@@ -32,6 +39,8 @@
 
 # What proxies request without a workspace.
 _OWN_REQUESTS = (ReportStatus, RollBack, StepDown)
+# With which an operation begins at a server.
+_FIRST_REQUESTS = (BeginTransaction, Forward)
 
 LoanKey = tuple[str, int, int]
 
@@ -202,6 +211,8 @@
                 server=loan.server.name,
             )
             answer = withheld('the connection is for requests of the proxy')
+        elif self._starts_too_late(loan, request):
+            answer = withheld('the server has been leaving for too long')
         elif self.accepts_work or isinstance(request, RollBack):
             answer = await self._pools.call(
                 loan.server, loan.connection, request, forwarded.timeout_s
@@ -224,6 +235,20 @@
                 ),
             )
 
+    def _starts_too_late(self, loan: Loan, request: ServerRequest) -> bool:
+        """Return whether an operation would begin after the drain time.
+
+        The borrower may not know yet that the server is leaving.
+        """
+        return (
+            isinstance(request, _FIRST_REQUESTS)
+            and not loan.connection.borrowed
+            and not loan.connection.in_transaction
+            and not accepts_operations(
+                self._tables, loan.server.name, steady_seconds()
+            )
+        )
+
     def _end_loan(self, key: LoanKey, *, reusable: bool) -> None:
         loan = self._loans.pop(key, None)
         if loan is None:
--- a/packages/toucandeald/src/toucandeald/peer_copies.py
+++ b/packages/toucandeald/src/toucandeald/peer_copies.py
@@ -124,7 +124,10 @@
             self._send(
                 heartbeat.address,
                 ServersCopy(
-                    self._tables.name, state.server_list.version, _copies(rows)
+                    self._tables.name,
+                    state.server_list.version,
+                    _copies(rows),
+                    state.server_list.departure_ages(),
                 ),
             )
 
--- a/packages/toucandeald/src/toucandeald/server_list.py
+++ b/packages/toucandeald/src/toucandeald/server_list.py
@@ -1,7 +1,8 @@
 """The list of servers, as the store and the peers report it."""
 
+import functools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from toucandeal.acknowledged_writes import (
@@ -9,6 +10,19 @@
     note_server_ended,
     note_server_listed,
 )
+from toucandeal.departures import (
+    Departure,
+    DepartureAges,
+    ListFeed,
+    departure_ages,
+    note_answer,
+    note_call,
+    note_interrupted,
+    note_tick,
+    seen_again,
+    seen_in_copy,
+    seen_in_feed,
+)
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import FleetTables, server_load
 from toucandeal.store_versions import NO_VERSION, StoreVersion
@@ -24,9 +38,14 @@
 OUTDATED_ENTRY_S = 5.0
 
 
+# Returns the departure of a server whose entry says that it is leaving.
+Sight = Callable[[str], Departure]
+
+
 class _HeldEntry(NamedTuple):
     row: SharedRow
     until: float
+    departure: Departure  # if the entry says that the server is leaving
 
 
 class ServerList:
@@ -45,22 +64,28 @@
         self._decode = decode
         self._removed_at: dict[str, float] = {}
         self._held: dict[str, _HeldEntry] = {}
-        self._is_following = False
-        self._answered_at = -math.inf
-        self._ticked_at = -math.inf
-        self._followed_at = -math.inf
-
-    def note_followed(self) -> None:
-        """Note that the store has answered with all changes."""
-        self._is_following = True
-        self._answered_at = steady_seconds()
-        self._ticked_at = self._answered_at
-        self._followed_at = self._answered_at
+        self._feed = ListFeed()
+
+    def note_call(self, sent_at: float, wait_s: float) -> None:
+        """Note that a call was sent that waits for the next change."""
+        note_call(self._feed, sent_at, wait_s)
+
+    def note_followed(self, as_of: float) -> None:
+        """Note that the store has answered with all changes before `as_of`."""
+        note_answer(self._feed, as_of)
 
     def note_interrupted(self) -> None:
         """Note that the store gives no answer, so changes may be missed."""
-        self._is_following = False
-        self._followed_at = self._answered_at
+        note_interrupted(self._feed)
+
+    def departure_ages(self) -> dict[str, DepartureAges]:
+        """Return the ages of the departures of the servers that are leaving."""
+        now = steady_seconds()
+        return {
+            name: departure_ages(departure, now)
+            for name, departure in self._tables.departures.items()
+            if name in self._tables.servers
+        }
 
     def tick(self, now: float) -> None:
         """Drop servers whose entries were removed `REMOVAL_DELAY_S` ago.
@@ -68,56 +93,97 @@
         Also apply the entries that were held back as outdated and have not
         been replaced.
         """
-        if self._is_following:
-            # After a freeze, changes may still be unread at the first tick.
-            self._followed_at = self._ticked_at
-            self._ticked_at = now
+        note_tick(self._feed, now)
         for name, removed_at in list(self._removed_at.items()):
             if now - removed_at >= REMOVAL_DELAY_S:
                 self._removed_at.pop(name)
+                # An entry that lapses may come back; its departure stays known.
                 self._end(name)
-                self._tables.leaving_since.pop(name, None)
                 log_event('server gone', server=name)
         for held in list(self._held.values()):
             if now >= held.until:
-                self._apply(held.row)
+                self._apply(held.row, lambda _, held=held: held.departure)
 
     def apply_changes(self, rows: list[SharedRow]) -> None:
-        """Apply newer entries of the list of servers."""
+        """Apply newer entries, as an own call to the store has brought them."""
+        self._apply_newer(rows, self._sight_in_feed)
+
+    def apply_snapshot(
+        self, rows: list[SharedRow], version: StoreVersion
+    ) -> None:
+        """Apply the whole list, as own calls to the store have read it."""
+        self._apply_all(rows, version, self._sight_in_feed)
+
+    def apply_copy(
+        self,
+        rows: list[SharedRow],
+        version: StoreVersion,
+        ages: Mapping[str, DepartureAges],
+        sent_after: float,
+    ) -> None:
+        """Apply a peer's copy of the whole list, sent after `sent_after`."""
+        self._apply_all(
+            rows,
+            version,
+            functools.partial(self._sight_in_copy, ages, sent_after),
+        )
+        departures = self._tables.departures
+        now = steady_seconds()
+        for row in rows:
+            # Another version may be of another departure.
+            known = self.rows.get(row.key)
+            is_same = known is not None and known.version == row.version
+            if is_same and row.key in ages and row.key in departures:
+                departures[row.key] = seen_again(
+                    departures[row.key],
+                    seen_in_copy(self._feed, ages[row.key], sent_after, now),
+                )
+
+    def _sight_in_feed(self, name: str) -> Departure:
+        del name
+        return seen_in_feed(self._feed, steady_seconds())
+
+    def _sight_in_copy(
+        self, ages: Mapping[str, DepartureAges], sent_after: float, name: str
+    ) -> Departure:
+        now = steady_seconds()
+        return seen_in_copy(self._feed, ages.get(name), sent_after, now)
+
+    def _apply_newer(self, rows: list[SharedRow], sight: Sight) -> None:
         for row in rows:
             known = self.rows.get(row.key)
             if known is not None and row.version <= known.version:
                 continue
             if known is not None and _is_outdated_copy(row, known):
-                self._hold(row)
+                self._hold(row, sight)
             else:
-                self._apply(row)
+                self._apply(row, sight)
 
-    def apply_snapshot(
-        self, rows: list[SharedRow], version: StoreVersion
+    def _apply_all(
+        self, rows: list[SharedRow], version: StoreVersion, sight: Sight
     ) -> None:
         """Apply the whole list of servers if it is newer than the known one."""
         if version <= self.version:
             return
-        self.apply_changes(rows)
+        self._apply_newer(rows, sight)
         present = {row.key for row in rows}
         for key in set(self._held) - present:
             self._held.pop(key)
         for key, known in list(self.rows.items()):
             if key not in present and not known.removed:
-                self._apply(SharedRow(key, b'', version, removed=True))
+                self._apply(SharedRow(key, b'', version, removed=True), sight)
         self.version = version
 
-    def _hold(self, row: SharedRow) -> None:
+    def _hold(self, row: SharedRow, sight: Sight) -> None:
         held = self._held.get(row.key)
         if held is not None and held.row.version >= row.version:
             return
         self._held[row.key] = _HeldEntry(
-            row, steady_seconds() + OUTDATED_ENTRY_S
+            row, steady_seconds() + OUTDATED_ENTRY_S, sight(row.key)
         )
         log_event('restored entry held back', server=row.key)
 
-    def _apply(self, row: SharedRow) -> None:
+    def _apply(self, row: SharedRow, sight: Sight) -> None:
         self._held.pop(row.key, None)
         self.rows[row.key] = row
         self.version = max(self.version, row.version)
@@ -145,16 +211,25 @@
                 group.acknowledged, ServerStart(server.name, server.born_ms)
             )
         server_load(self._tables, server.name)
-        if server.leaving:
-            # It may have left at any time since the list was followed.
-            self._tables.leaving_since.setdefault(
-                server.name, self._followed_at
-            )
-        else:
-            self._tables.leaving_since.pop(server.name, None)
+        self._note_departure(server, sight)
         if server != known:
             log_event('server', **server._asdict())
 
+    def _note_departure(self, server: Server, sight: Sight) -> None:
+        departures = self._tables.departures
+        if not server.leaving:
+            departures.pop(server.name, None)
+        elif server.name not in departures:
+            departure = sight(server.name)
+            departures[server.name] = departure
+            ages = departure_ages(departure, steady_seconds())
+            log_event(
+                'server leaving',
+                server=server.name,
+                earliest_s=_logged_age(ages.earliest),
+                latest_s=_logged_age(ages.latest),
+            )
+
     def _end(self, name: str) -> None:
         """Remove a server, and remember that it may have confirmed writes."""
         server = self._tables.servers.pop(name, None)
@@ -181,3 +256,7 @@
         and row.version.number <= known.version.number
         and (known.removed or row.content != known.content)
     )
+
+
+def _logged_age(seconds: float) -> float | str:
+    return round(seconds, 2) if math.isfinite(seconds) else 'unknown'
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -13,6 +13,7 @@
 
 from toucandeal.acknowledged_writes import note_departure
 from toucandeal.configuration_freshness import prove_by_call, start_era
+from toucandeal.departures import complete_as_of
 from toucandeal.errors import StoreUnavailable
 from toucandeal.fleet import (
     FleetConfiguration,
@@ -400,19 +401,20 @@
                 'Read again; a new connection reaches the restored store',
             )
         reset(snapshot.rows, snapshot.version)
-        self._note_applied(table, sent_at, snapshot.version)
+        self._note_applied(table, sent_at, snapshot.version, sent_at)
         return snapshot.version
 
     def _note_applied(
-        self, table: str, sent_at: float, version: StoreVersion
+        self, table: str, sent_at: float, version: StoreVersion, as_of: float
     ) -> None:
         """Note that an answer to a call sent at `sent_at` has been applied.
 
+        It has all changes of before `as_of`.
         A row that is not a configuration is no version of it. It proves that
         there is no newer one, so a garbled write doesn't end the service.
         """
         if table == self._shared.server_table:
-            self.server_list.note_followed()
+            self.server_list.note_followed(as_of)
         if table == self._shared.configuration_table:
             self.configuration.continue_from(version)
             prove_by_call(
@@ -461,6 +463,8 @@
         wait_s: float,
     ) -> StoreVersion | None:
         sent_at = steady_seconds()
+        if table == self._shared.server_table:
+            self.server_list.note_call(sent_at, wait_s)
         changes = await self._store.changes(table, version, wait_s)
         if isinstance(changes, HistoryGone):
             self.note_era(changes.era)
@@ -470,7 +474,13 @@
             return None
         apply(changes.rows)
         if current:
-            self._note_applied(table, sent_at, changes.version)
+            as_of = complete_as_of(
+                sent_at,
+                wait_s,
+                steady_seconds(),
+                has_changes=bool(changes.rows),
+            )
+            self._note_applied(table, sent_at, changes.version, as_of)
         return changes.version
 
     async def _read_periodically(self) -> None:
--- a/packages/toucandeald/src/toucandeald/tests/test_server_list.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_list.py
@@ -1,8 +1,11 @@
 """The list of servers, also of a store restored from an older copy."""
 
+import math
+
 import pytest
 from twisted.internet.task import Clock
 
+from toucandeal.departures import DepartureAges
 from toucandeal.fleet import Server
 from toucandeal.fleet_tables import (
     DRAIN_MARGIN_S,
@@ -43,10 +46,23 @@
     servers.apply_snapshot(
         [_row('a', 1, 3), _row('b', 1, 4)], StoreVersion(1, 9)
     )
-    servers.note_followed()
+    _follow(servers, clock)
     return servers
 
 
+def _follow(servers, clock, wait_s=10.0):
+    """Note an answer now, and the next call."""
+    servers.note_followed(clock.seconds())
+    servers.note_call(clock.seconds(), wait_s)
+
+
+def _run(servers, clock, seconds):
+    """Let time pass with ticks."""
+    for _ in range(round(seconds / 0.05)):
+        clock.advance(0.05)
+        servers.tick(clock.seconds())
+
+
 def _listed(servers):
     return sorted(servers._tables.servers)
 
@@ -147,7 +163,7 @@
     tables.drain_s = 7.0
     servers = ServerList(tables, _decode)
     servers.apply_snapshot([_row('a', 1, 3, b'leaving')], StoreVersion(1, 9))
-    servers.note_followed()
+    servers.note_followed(clock.seconds())
     assert not accepts_operations(tables, 'a', clock.seconds())
 
 
@@ -174,16 +190,130 @@
     servers, clock
 ):
     servers._tables.drain_s = 7.0
-    for _ in range(40):
-        servers.tick(clock.seconds())
-        clock.advance(0.1)
-    assert _counts_drain_time_from(servers, clock, 0.2)
+    _run(servers, clock, 4)
+    assert _counts_drain_time_from(servers, clock, 0.05)
+
+
+@pytest.mark.parametrize(
+    ('ages', 'sent_after_s', 'elapsed_s'),
+    [
+        # A peer that saw the change on a live connection knows its age.
+        ({'a': DepartureAges(1.1, 1.0)}, 0.2, 1.3),
+        # Without an age, as from an earlier build, the last proof counts.
+        ({}, 0.2, 4),
+        ({'a': DepartureAges(1.1, 1.0)}, math.inf, 4),
+        # The peer has no proof; this proxy has.
+        ({'a': DepartureAges(math.inf, 1.0)}, 0.2, 4),
+        ({'a': DepartureAges(60.0, 1.0)}, 0.2, 4),
+    ],
+)
+def test_a_copy_brings_a_change_that_the_own_call_has_not_brought(
+    servers, clock, ages, sent_after_s, elapsed_s
+):
+    # Guards against a drain time counted from the arrival of a copy while the
+    # own connection to the store is silent.
+    servers._tables.drain_s = 7.0
+    _run(servers, clock, 4)
+    servers.apply_copy(
+        [_row('a', 1, 10, b'leaving'), _row('b', 1, 4)],
+        StoreVersion(1, 10),
+        ages,
+        clock.seconds() - sent_after_s,
+    )
+    assert _drain_time_began(servers, clock, elapsed_s)
+
+
+def test_a_started_proxy_counts_from_the_age_in_a_copy(clock):
+    tables = FleetTables('p1', 'd')
+    tables.drain_s = 7.0
+    servers = ServerList(tables, _decode)
+    rows = [_row('a', 1, 10, b'leaving')]
+    ages = {'a': DepartureAges(2.0, 1.0)}
+    servers.apply_copy(rows, StoreVersion(1, 10), ages, clock.seconds())
+    assert _drain_time_began(servers, clock, 2)
+
+
+def test_an_answer_that_comes_late_brings_changes_of_before(servers, clock):
+    # Guards against a change that the network has held back: the call was to
+    # end after 2 s, and its answer took 5 s.
+    servers._tables.drain_s = 7.0
+    servers.note_call(clock.seconds(), 2.01)
+    _run(servers, clock, 5)
+    assert _counts_drain_time_from(servers, clock, 3)
+
+
+def test_an_answer_that_comes_at_once_brings_changes_of_before(servers, clock):
+    # Guards against a change that was made before the call was sent.
+    servers._tables.drain_s = 7.0
+    _run(servers, clock, 5)
+    servers.note_interrupted()
+    _run(servers, clock, 1)
+    servers.note_call(clock.seconds(), 2.0)
+    _run(servers, clock, 0.05)
+    assert _counts_drain_time_from(servers, clock, 6.05)
+
+
+def test_servers_that_leave_one_after_the_other_count_from_then(servers, clock):
+    # Guards against the price of the above: each answer brings one change.
+    servers._tables.drain_s = 7.0
+    _run(servers, clock, 5)
+    sent_at = clock.seconds() - 5
+    servers.apply_changes([_row('b', 1, 10, b'leaving')])
+    servers.note_followed(sent_at)
+    servers.note_call(clock.seconds(), 10.0)
+    _run(servers, clock, 0.05)
+    assert _counts_drain_time_from(servers, clock, 0.1)
+
+
+def test_a_peer_that_saw_a_departure_sooner_is_right(servers, clock):
+    # Guards against the later of two sights of the same entry.
+    servers._tables.drain_s = 7.0
+    _run(servers, clock, 4)
+    rows = [_row('a', 1, 10, b'leaving')]
+    servers.apply_changes(rows)
+    ages = {'a': DepartureAges(60.0, 2.0)}
+    servers.apply_copy(rows, StoreVersion(1, 10), ages, -math.inf)
+    assert _drain_time_began(servers, clock, 2)
+    # A copy of another version of the entry proves nothing about this one.
+    rows = [_row('a', 1, 9, b'leaving')]
+    ages = {'a': DepartureAges(60.0, 50.0)}
+    servers.apply_copy(rows, StoreVersion(1, 11), ages, -math.inf)
+    assert _drain_time_began(servers, clock, 2)
+
+
+def test_an_entry_that_lapses_does_not_begin_the_drain_time_again(
+    servers, clock
+):
+    # Guards against a leaving server whose entry comes back after an outage.
+    servers._tables.drain_s = 7.0
+    _run(servers, clock, 2)
+    servers.apply_changes([_row('a', 1, 10, b'leaving')])
+    servers.apply_changes([_row('a', 1, 11, b'', removed=True)])
+    _run(servers, clock, REMOVAL_DELAY_S + 0.1)
+    assert _listed(servers) == ['b']
+    servers.apply_changes([_row('a', 1, 12, b'leaving')])
+    assert _drain_time_began(servers, clock, REMOVAL_DELAY_S + 0.15)
+
+
+def test_a_restored_entry_counts_from_its_arrival(servers, clock):
+    # Guards against the time for which an outdated entry is held back.
+    servers._tables.drain_s = 7.0
+    servers.apply_changes([_row('a', 1, 12)])
+    _run(servers, clock, 1)
+    servers.apply_changes([_row('a', 2, 3, b'leaving')])
+    _run(servers, clock, OUTDATED_ENTRY_S + 0.1)
+    assert _drain_time_began(servers, clock, OUTDATED_ENTRY_S + 0.15)
 
 
 def _counts_drain_time_from(servers, clock, elapsed_s):
     """Return whether a leaving entry counts as `elapsed_s` old."""
     servers.apply_changes([_row('a', 1, 10, b'leaving')])
-    servers.note_followed()
+    servers.note_followed(clock.seconds())
+    return _drain_time_began(servers, clock, elapsed_s)
+
+
+def _drain_time_began(servers, clock, elapsed_s):
+    """Return whether the drain time of 7 s began `elapsed_s` ago."""
     ends_at = clock.seconds() + 7.0 - DRAIN_MARGIN_S - elapsed_s
     return accepts_operations(
         servers._tables, 'a', ends_at - 0.01
--- a/packages/toucandeald/src/toucandeald/tests/test_workspace_loans.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_workspace_loans.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import Clock
 
 from toucandeal.caller_sessions import CallerSession, ConnectionState
+from toucandeal.departures import Departure
 from toucandeal.fleet import (
     FleetConfiguration,
     InteractiveGroup,
@@ -15,6 +16,8 @@
     Route,
     RouteKind,
     Server,
+    Statement,
+    Verb,
 )
 from toucandeal.fleet_tables import FleetTables, PeerView, server_load
 from toucandeal.lending import domain_lenders
@@ -32,6 +35,7 @@
 from toucandeald.server_pools import ServerPools
 from toucandeald.session_messages import (
     AnswerKind,
+    Forward,
     ReportStatus,
     RollBack,
     ServerAnswer,
@@ -57,6 +61,7 @@
         self.workspace = workspace
         self.connection_state = ConnectionState()
         self.usable = True
+        self.in_transaction = False
 
     def call(self, request, timeout_s):
         """Answer a request."""
@@ -430,3 +435,26 @@
     connection = _borrower(fleet).acquire('')
     assert isinstance(connection, BorrowedConnection) == lent
     assert (connection is not None) == lent
+
+
+@pytest.mark.parametrize('in_transaction', [False, True])
+def test_a_lender_that_knows_of_a_departure_starts_nothing_after_it(
+    fleet, in_transaction
+):
+    # Guards against a borrower that has not heard that the server is leaving.
+    borrower = _borrower(fleet)
+    connection = borrower.acquire('a')
+    lender = fleet.proxies[connection.lender]
+    lender.tables.drain_s = 7.0
+    now = fleet.clock.seconds()
+    lender.tables.departures['i-1'] = Departure(now - 7, now - 7)
+    lent = next(iter(lender.pools.pool(SERVER).connections))
+    lent.in_transaction = in_transaction
+    statement = Statement(Verb.READ, 'READ a')
+    answers = []
+    connection.call(Forward('id', statement, None), 1.0).addCallback(
+        answers.append
+    )
+    fleet.deliver_messages()
+    expected = AnswerKind.COMPLETED if in_transaction else AnswerKind.WITHHELD
+    assert [answer.kind for answer in answers] == [expected]
