Date what a whole read brings from the last call that waited

Cause: counts a call as waiting until its answer is applied, also if the answer says that the store has dropped the changes. While the list is read again then, a change was dated by its arrival.

Change: a call waits no longer once the store has answered it, whatever it says.

Result: test_a_whole_read_brings_changes_of_since_the_last_call; the tests of the daemon pass.

--- a/packages/toucandeal/src/toucandeal/departures.py
+++ b/packages/toucandeal/src/toucandeal/departures.py
@@ -30,6 +30,7 @@
     'departure_ages',
     'note_answer',
     'note_call',
+    'note_call_ended',
     'note_interrupted',
     'note_tick',
     'seen_in_copy',
@@ -104,11 +105,18 @@
     feed.waits_until = sent_at + wait_s
 
 
+def note_call_ended(feed: ListFeed) -> None:
+    """Note that the store has answered, so that no call is waiting there.
+
+    What the answer proves is noted apart; that changes are gone proves nothing.
+    """
+    feed.waits_from = math.inf
+
+
 def note_answer(feed: ListFeed, as_of: float) -> None:
     """Note that all changes of before `as_of` have been applied."""
     feed.proven_at = max(feed.proven_at, as_of)
     feed.assumed_at = max(feed.assumed_at, as_of)
-    feed.waits_from = math.inf
 
 
 def note_interrupted(feed: ListFeed) -> None:
--- a/packages/toucandeald/src/toucandeald/server_list.py
+++ b/packages/toucandeald/src/toucandeald/server_list.py
@@ -17,6 +17,7 @@
     departure_ages,
     note_answer,
     note_call,
+    note_call_ended,
     note_interrupted,
     note_tick,
     seen_again,
@@ -70,6 +71,10 @@
         """Note that a call was sent that waits for the next change."""
         note_call(self._feed, sent_at, wait_s)
 
+    def note_call_ended(self) -> None:
+        """Note that the store has answered the call."""
+        note_call_ended(self._feed)
+
     def note_followed(self, as_of: float) -> None:
         """Note that the store has answered with all changes before `as_of`."""
         note_answer(self._feed, as_of)
--- a/packages/toucandeald/src/toucandeald/shared_state.py
+++ b/packages/toucandeald/src/toucandeald/shared_state.py
@@ -410,6 +410,7 @@
         """Note that an answer to a call sent at `sent_at` has been applied.
 
         It has all changes of before `as_of`.
+
         A row that is not a configuration is no version of it. It proves that
         there is no newer one, so a garbled write doesn't end the service.
         """
@@ -463,9 +464,12 @@
         wait_s: float,
     ) -> StoreVersion | None:
         sent_at = steady_seconds()
-        if table == self._shared.server_table:
+        is_server_list = table == self._shared.server_table
+        if is_server_list:
             self.server_list.note_call(sent_at, wait_s)
         changes = await self._store.changes(table, version, wait_s)
+        if is_server_list:
+            self.server_list.note_call_ended()
         if isinstance(changes, HistoryGone):
             self.note_era(changes.era)
             return None
--- a/packages/toucandeald/src/toucandeald/tests/test_server_list.py
+++ b/packages/toucandeald/src/toucandeald/tests/test_server_list.py
@@ -52,6 +52,7 @@
 
 def _follow(servers, clock, wait_s=10.0):
     """Note an answer now, and the next call."""
+    servers.note_call_ended()
     servers.note_followed(clock.seconds())
     servers.note_call(clock.seconds(), wait_s)
 
@@ -253,12 +254,25 @@
     assert _counts_drain_time_from(servers, clock, 6.05)
 
 
+def test_a_whole_read_brings_changes_of_since_the_last_call(servers, clock):
+    # Guards against a change that is dated by the arrival of a whole read, after
+    # the store has dropped the changes that the call waited for.
+    servers._tables.drain_s = 7.0
+    _run(servers, clock, 3)
+    servers.note_call_ended()
+    _run(servers, clock, 2)
+    rows = [_row('a', 1, 12, b'leaving'), _row('b', 1, 4)]
+    servers.apply_snapshot(rows, StoreVersion(1, 12))
+    assert _drain_time_began(servers, clock, 2.05)
+
+
 def test_servers_that_leave_one_after_the_other_count_from_then(servers, clock):
     # Guards against the price of the above: each answer brings one change.
     servers._tables.drain_s = 7.0
     _run(servers, clock, 5)
     sent_at = clock.seconds() - 5
     servers.apply_changes([_row('b', 1, 10, b'leaving')])
+    servers.note_call_ended()
     servers.note_followed(sent_at)
     servers.note_call(clock.seconds(), 10.0)
     _run(servers, clock, 0.05)
