Give the load model's connections the interface of the product's

Cause: since a lender asks each lent connection whether it is in a transaction. The product's connections have the attribute, and borrowed ones are not asked.

Change: the attribute is public.

--- a/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
+++ b/packages/toucandeal-standins/src/toucandeal_standins/load_model/servers.py
@@ -169,7 +169,7 @@
         self._server = server
         self._delay_s = delay_s
         self._work_s = work_s
-        self._in_transaction = False
+        self.in_transaction = False
         self._wrote = False
 
     def call(self, request: ServerRequest, timeout_s: float) -> defer.Deferred:
@@ -264,21 +264,21 @@
     def _apply(self, request: ServerRequest) -> None:
         match request:
             case BeginTransaction():
-                self._in_transaction = True
+                self.in_transaction = True
                 self._wrote = False
             case RollBack():
-                self._in_transaction = False
+                self.in_transaction = False
             case Forward(_, statement):
                 self._run_statement(statement)
 
     def _run_statement(self, statement) -> None:
         self._wrote = self._wrote or statement.writes
         commits = statement.verb is Verb.COMMIT
-        if self._wrote and (commits or not self._in_transaction):
+        if self._wrote and (commits or not self.in_transaction):
             self._server.group.commit()
             self._wrote = False
         if commits:
-            self._in_transaction = False
+            self.in_transaction = False
 
     def _answer(self, kind: AnswerKind, reason: str) -> ServerAnswer:
         signed = 'signed' if kind is AnswerKind.COMPLETED else ''
@@ -287,7 +287,7 @@
             [],
             signed,
             reason,
-            self._in_transaction,
+            self.in_transaction,
             self._server.applied,
         )
 
